--- a/src/main/java/maplehall/Budget.java
+++ b/src/main/java/maplehall/Budget.java
@@ -13,7 +13,7 @@
   static final int RESERVED_DESCRIPTORS = 48;
 
   /** Bytes of bodies held at once; one body of the largest size always fits. */
-  static final long BODY_BYTES = 40L << 20;
+  static final long BODY_BYTES = 8L << 20;
 
   private record Waiter(long bytes, Runnable granted) {}
 
@@ -27,6 +27,10 @@
     this.freeBytes = bodyBytes;
   }
 
+  int mostConnections() {
+    return mostConnections;
+  }
+
   int connectionsLeft() {
     return mostConnections - connections;
   }
--- a/src/main/java/maplehall/ClientHandler.java
+++ b/src/main/java/maplehall/ClientHandler.java
@@ -10,10 +10,9 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -31,39 +30,56 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.util.ArrayDeque;
+import java.util.List;
 import meadowtrack.api.RequestClass;
 
 /** One client's connection: reads one request at a time and writes its one answer. */
 final class ClientHandler extends ChannelInboundHandlerAdapter {
-  static final long MOST_BODY_BYTES = 32L << 20;
+  /** The protocol's bound. A longer body is turned away by its length, before it is read. */
+  static final long MOST_BODY_BYTES = 64L << 10;
 
   /** A body up to this size is read without asking; connections are few enough to bear that. */
   static final int FREE_BODY_BYTES = 16 << 10;
 
   private static final int BLOCK_BYTES = 32 << 10;
 
-  private static final long HEAD_NANOS = 10_000_000_000L;
-  private static final long IDLE_NANOS = 75_000_000_000L;
-  private static final long LINGER_NANOS = 1_000_000_000L;
+  /**
+   * From the first byte of a request, or from the start of its connection, to its last byte. Guards
+   * the descriptor against clients that connect and say nothing, send half a request or trickle
+   * one, and owes them an end within 3 s. Would do harm to clients on links that need longer for 64
+   * KiB; those behind the front do not.
+   */
+  static final long RECEIVE_NANOS = 2_000_000_000L;
+
+  /** Since the last answer; many clients ask once and never close. */
+  static final long IDLE_NANOS = 10_000_000_000L;
+
+  /** From the last answer to its close: time for the client to read it. */
+  private static final long LINGER_NANOS = 500_000_000L;
 
-  /** Without any progress for so long a body, an answer or a stream is given up. */
-  private static final long STALL_NANOS = 15_000_000_000L;
+  /** What is read and thrown away of a request that has been turned away. */
+  private static final long MOST_LINGER_BYTES = 1L << 20;
 
-  /** The slowest body that is read to its end: that which keeps up with this rate. */
-  private static final long LEAST_BYTES_PER_SECOND = 16 << 10;
+  /** Without any progress for so long the writing of an answer is given up. */
+  private static final long WRITE_NANOS = 3_000_000_000L;
 
-  /** Parts of a further request that are kept while one is being answered. */
-  private static final int MOST_PIPELINED = 16;
+  /**
+   * Parts of further requests that are kept while one is being answered. A client sends one request
+   * at a time; a few ahead are served in turn, a flood ends the connection.
+   */
+  static final int MOST_PIPELINED = 8;
+
+  private static final int MOST_ID_LENGTH = 128;
 
   private enum Phase {
     /** No request, or only a part of its head. */
     IDLE,
     /** The head has come, the body has not. */
     BODY,
+    /** Come whole; taken once it is clear what came along with it. */
+    COMPLETE,
     /** Taken; the answer is owed. */
     TAKEN,
-    /** A long answer is under way. */
-    STREAM,
     /** The last answer has been given; what still comes is thrown away. */
     LINGER
   }
@@ -72,6 +88,7 @@
   private final Dispatcher dispatcher;
   private final Clock clock;
   private final Channel channel;
+  private final StrictRequestDecoder decoder;
   private final ArrayDeque<HttpObject> pipelined = new ArrayDeque<>();
   private Phase phase = Phase.IDLE;
   private long sinceNanos;
@@ -86,11 +103,20 @@
   private long reserved;
   private Object waiting;
   private LiveRequest request;
-  private UpstreamConnection source;
-  private boolean chunkedStream;
   private boolean replaying;
-
-  ClientHandler(ClientServer server, Dispatcher dispatcher, Clock clock, Channel channel) {
+  private boolean flooded;
+  private boolean asked;
+  private int readsBefore;
+  private long lingerBytes;
+  private ChannelFuture answering;
+
+  ClientHandler(
+      ClientServer server,
+      Dispatcher dispatcher,
+      Clock clock,
+      Channel channel,
+      StrictRequestDecoder decoder) {
+    this.decoder = decoder;
     this.server = server;
     this.dispatcher = dispatcher;
     this.clock = clock;
@@ -103,21 +129,27 @@
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     HttpObject part = (HttpObject) message;
-    if (phase == Phase.TAKEN || phase == Phase.STREAM || !pipelined.isEmpty()) {
+    if (flooded) {
+      ReferenceCountUtil.release(part);
+    } else if (phase == Phase.COMPLETE || phase == Phase.TAKEN || !pipelined.isEmpty()) {
       // The next request before this one is answered. Reading goes on, within limits, because only
       // reading shows that a client has gone.
       pipelined.add(part);
-      if (pipelined.size() >= MOST_PIPELINED) {
+      if (pipelined.size() > MOST_PIPELINED) {
+        flooded = true;
+        keepAlive = false;
+        dropPipelined();
         channel.config().setAutoRead(false);
       }
-      return;
+    } else {
+      read(part);
     }
-    read(part);
   }
 
   private void read(HttpObject part) {
     try {
       if (phase == Phase.LINGER) {
+        thrownAway(part);
         return;
       }
       headSinceNanos = 0;
@@ -136,6 +168,15 @@
     }
   }
 
+  private void thrownAway(HttpObject part) {
+    if (part instanceof HttpContent content) {
+      lingerBytes += content.content().readableBytes();
+    }
+    if (lingerBytes > MOST_LINGER_BYTES || part.decoderResult().isFailure()) {
+      channel.close(); // It had its answer; a reset is all that a client still sending can notice.
+    }
+  }
+
   private void malformed(Throwable cause) {
     HttpResponseStatus status = HttpResponseStatus.BAD_REQUEST;
     if (cause instanceof TooLongHttpHeaderException) {
@@ -148,6 +189,7 @@
 
   private void begin(HttpRequest next) {
     server.becameBusy(this);
+    asked = true;
     head = next;
     keepAlive = HttpUtil.isKeepAlive(next);
     phase = Phase.BODY;
@@ -163,7 +205,7 @@
     }
     long length = HttpUtil.getContentLength(next, 0L);
     if (length > MOST_BODY_BYTES) {
-      reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over 32 MB");
+      reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over 64 KiB");
       return;
     }
     body = channel.alloc().compositeBuffer(2048);
@@ -176,9 +218,16 @@
 
   /** Says what is wrong with a request's head, or null; sets what was read from it. */
   private String fault(HttpRequest next) {
-    String id = next.headers().get(HeaderRules.REQUEST_ID);
-    if (id == null || id.isEmpty()) {
-      return "no " + HeaderRules.REQUEST_ID;
+    String framing = HeaderRules.framingFault(next);
+    if (framing != null) {
+      return framing;
+    }
+    List<String> ids = next.headers().getAll(HeaderRules.REQUEST_ID);
+    if (ids.size() != 1 || !HeaderRules.isToken(ids.get(0), MOST_ID_LENGTH)) {
+      return "one readable " + HeaderRules.REQUEST_ID + " expected";
+    }
+    if (dispatcher.isOpen(ids.get(0))) {
+      return HeaderRules.REQUEST_ID + " of an open request";
     }
     type = dispatcher.requestClass(next.headers().get(HeaderRules.CLASS));
     if (type == null) {
@@ -189,6 +238,8 @@
     if (ttlNanos < 0) {
       return "malformed " + HeaderRules.DEADLINE;
     }
+    // No client waits longer than its class allows, and nothing is held for it any longer.
+    ttlNanos = Math.min(ttlNanos, type.deadlineNanos());
     boolean key = next.headers().contains(HeaderRules.IDEMPOTENCY_KEY);
     boolean fits =
         switch (type.effect()) {
@@ -232,7 +283,7 @@
     ByteBuf piece = content.content();
     bodyBytes += piece.readableBytes();
     if (bodyBytes > MOST_BODY_BYTES) {
-      reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over 32 MB");
+      reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over 64 KiB");
       return;
     }
     append(piece);
@@ -278,6 +329,19 @@
       reserved = bodyBytes;
     }
     addTail();
+    phase = Phase.COMPLETE;
+  }
+
+  /** The request that has come whole is taken, unless a flood came behind it. */
+  private void take() {
+    if (flooded) {
+      reject(HttpResponseStatus.BAD_REQUEST, "more than one request at a time");
+      return;
+    }
+    if (type != null && dispatcher.isOpen(head.headers().get(HeaderRules.REQUEST_ID))) {
+      reject(HttpResponseStatus.BAD_REQUEST, HeaderRules.REQUEST_ID + " of an open request");
+      return;
+    }
     ByteBuf whole = body;
     body = null;
     HttpRequest taken = head;
@@ -356,59 +420,8 @@
     return keep;
   }
 
-  /** A long answer begins; what follows comes piece by piece. */
-  void beginStream(HttpResponse from, UpstreamConnection source) {
-    this.source = source;
-    phase = Phase.STREAM;
-    HttpResponse answer = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-    HeaderRules.copyEndToEnd(from.headers(), answer.headers());
-    chunkedStream = !HttpUtil.isContentLengthSet(from);
-    if (chunkedStream) {
-      HttpUtil.setTransferEncodingChunked(answer, true);
-    } else {
-      HttpUtil.setContentLength(answer, HttpUtil.getContentLength(from));
-    }
-    keepAlive = setKeepAlive(answer);
-    channel.write(answer);
-  }
-
-  void streamPiece(ByteBuf piece) {
-    channel.writeAndFlush(new DefaultHttpContent(piece));
-    if (!channel.isWritable() && source != null) {
-      source.mayRead(false);
-    }
-    sinceNanos = clock.nowNanos();
-  }
-
-  void endStream() {
-    source = null;
-    finish(keepAlive, channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
-  }
-
-  /** The client must see that the answer is not whole: its connection is reset. */
-  void breakStream() {
-    source = null;
-    request = null;
-    abort();
-  }
-
-  private void abort() {
-    phase = Phase.LINGER;
-    if (channel instanceof SocketChannel socket && socket.isOpen()) {
-      socket.config().setSoLinger(0);
-    }
-    channel.close();
-  }
-
-  @Override
-  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-    sinceNanos = clock.nowNanos();
-    if (source != null) {
-      source.mayRead(channel.isWritable());
-    }
-  }
-
   private void finish(boolean keep, ChannelFuture written) {
+    answering = written;
     releaseReserved();
     request = null;
     sinceNanos = clock.nowNanos();
@@ -419,6 +432,7 @@
       return;
     }
     phase = Phase.IDLE;
+    readsBefore = decoder.reads();
     server.becameIdle(this);
     replay();
   }
@@ -431,6 +445,9 @@
     replaying = true;
     while (!pipelined.isEmpty() && (phase == Phase.IDLE || phase == Phase.BODY)) {
       read(pipelined.poll());
+      if (phase == Phase.COMPLETE) {
+        take();
+      }
     }
     replaying = false;
     if (pipelined.isEmpty() && waiting == null) {
@@ -464,16 +481,19 @@
 
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
+    if (phase == Phase.COMPLETE && !replaying) {
+      take();
+    }
     // Bytes came and made no message: a part of a head, which must not take for ever.
-    if (phase == Phase.IDLE && headSinceNanos == 0 && channel.isActive()) {
+    if (phase == Phase.IDLE && headSinceNanos == 0 && decoder.reads() != readsBefore) {
       headSinceNanos = clock.nowNanos();
+      server.becameBusy(this);
     }
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     phase = Phase.LINGER;
-    source = null;
     dropBody();
     dropPipelined();
     if (request != null) {
@@ -520,9 +540,24 @@
     }
   }
 
-  /** Closes a connection between requests. */
-  void closeIdle() {
+  /**
+   * Closes a connection between requests; false if a request turns out to be on it. The socket is
+   * read first: one that has come but has not been read would be lost with the connection.
+   */
+  boolean closeIdle() {
+    if (phase == Phase.IDLE && channel.isActive()) {
+      ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+    }
+    if (phase != Phase.IDLE && phase != Phase.LINGER || headSinceNanos > 0) {
+      return false;
+    }
     channel.close();
+    return true;
+  }
+
+  /** Whether a request has ever begun on the connection. */
+  boolean asked() {
+    return asked;
   }
 
   /** Gives up what takes too long. */
@@ -530,24 +565,22 @@
     long age = now - sinceNanos;
     switch (phase) {
       case IDLE -> {
-        if (headSinceNanos > 0 ? now - headSinceNanos > HEAD_NANOS : age > IDLE_NANOS) {
-          channel.close();
+        if (headSinceNanos > 0) {
+          if (now - (asked ? headSinceNanos : sinceNanos) > RECEIVE_NANOS) {
+            reject(HttpResponseStatus.REQUEST_TIMEOUT, "head too slow");
+          }
+        } else if (age > (asked ? IDLE_NANOS : RECEIVE_NANOS)) {
+          closeIdle();
         }
       }
       case BODY -> {
-        long allowed = STALL_NANOS + bodyBytes * 1_000_000_000L / LEAST_BYTES_PER_SECOND;
-        if (waiting == null && age > allowed) {
+        if (age > RECEIVE_NANOS) {
           reject(HttpResponseStatus.REQUEST_TIMEOUT, "body too slow");
         }
       }
-      case STREAM -> {
-        boolean stalled = channel.isWritable() && source != null;
-        if (stalled ? now - source.heardNanos() > STALL_NANOS : age > STALL_NANOS) {
-          abort();
-        }
-      }
       case LINGER -> {
-        if (age > LINGER_NANOS) {
+        boolean unwritten = answering != null && !answering.isDone();
+        if (age > (unwritten ? WRITE_NANOS : LINGER_NANOS)) {
           channel.close();
         }
       }
--- a/src/main/java/maplehall/ClientServer.java
+++ b/src/main/java/maplehall/ClientServer.java
@@ -10,10 +10,9 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -21,13 +20,10 @@
 /** Listens for clients and keeps their connections within the budget. */
 final class ClientServer {
   private static final int BACKLOG = 4096;
-  private static final int MOST_LINE_BYTES = 8 << 10;
-  private static final int MOST_HEAD_BYTES = 32 << 10;
-  private static final int MOST_CHUNK_BYTES = 64 << 10;
-  private static final long TICK_MILLIS = 500;
+  private static final long TICK_MILLIS = 200;
 
-  /** Descriptors that a new client may not take from the upstreams. */
-  private static final int FOR_UPSTREAMS = 64;
+  /** Accepts of one read of the listener, as Netty's default has it. */
+  private static final int ACCEPTS_A_READ = 16;
 
   private final EventLoop loop;
   private final Clock clock;
@@ -37,6 +33,9 @@
   /** The client that has been idle longest first. */
   private final Set<ClientHandler> idle = new LinkedHashSet<>();
 
+  /** Those that have not asked for anything yet, oldest first. */
+  private final Set<ClientHandler> silent = new LinkedHashSet<>();
+
   private Dispatcher dispatcher;
   private UpstreamPool pool;
   private Channel listener;
@@ -80,17 +79,20 @@
   }
 
   private void accepted(Channel channel) {
-    ClientHandler client = new ClientHandler(this, dispatcher, clock, channel);
-    channel
-        .pipeline()
-        .addLast(new HttpServerCodec(MOST_LINE_BYTES, MOST_HEAD_BYTES, MOST_CHUNK_BYTES), client);
+    StrictRequestDecoder decoder = new StrictRequestDecoder();
+    ClientHandler client = new ClientHandler(this, dispatcher, clock, channel, decoder);
+    channel.pipeline().addLast(decoder, new HttpResponseEncoder(), client);
     budget.opened();
     clients.add(client);
     channel.closeFuture().addListener(closed -> closed(client));
-    if (budget.connectionsLeft() < FOR_UPSTREAMS && !pool.evictIdle()) {
+    // Clients may hold half of the descriptors; the rest is for the attempts of their requests.
+    if (clients.size() > budget.mostConnections() / 2) {
       evictIdle();
     }
-    idle.add(client);
+    if (budget.connectionsLeft() <= 0) {
+      pool.evictIdle();
+    }
+    silent.add(client);
     if (budget.connectionsLeft() <= 0) {
       // The rest wait in the backlog until a descriptor is free.
       listener.config().setAutoRead(false);
@@ -100,7 +102,7 @@
   private void closed(ClientHandler client) {
     budget.closed();
     clients.remove(client);
-    idle.remove(client);
+    becameBusy(client);
     resumeAccepting();
   }
 
@@ -116,19 +118,30 @@
   }
 
   void becameBusy(ClientHandler client) {
-    idle.remove(client);
+    if (!idle.remove(client)) {
+      silent.remove(client);
+    }
   }
 
-  /** Closes the client connection that has been idle longest; false if none is. */
+  /**
+   * Closes a client connection on which nothing is asked; false if there is none. Those that never
+   * asked go first while they are many: hundreds that connect and say nothing must not push out the
+   * clients that come back. Would do harm to a client that connects long before it asks.
+   */
   boolean evictIdle() {
-    Iterator<ClientHandler> oldest = idle.iterator();
-    if (!oldest.hasNext()) {
-      return false;
+    boolean silentFirst = silent.size() > budget.mostConnections() / 16;
+    return silentFirst ? evict(silent) || evict(idle) : evict(idle) || evict(silent);
+  }
+
+  private static boolean evict(Set<ClientHandler> from) {
+    while (!from.isEmpty()) {
+      ClientHandler client = from.iterator().next();
+      from.remove(client); // One that proves busy is told of again when it has been answered.
+      if (client.closeIdle()) {
+        return true;
+      }
     }
-    ClientHandler client = oldest.next();
-    oldest.remove();
-    client.closeIdle();
-    return true;
+    return false;
   }
 
   int clients() {
@@ -146,7 +159,11 @@
 
   /** Takes no more connections, after those that have already come. */
   void stopListening() {
-    ((AbstractNioChannel.NioUnsafe) listener.unsafe()).read();
+    int before;
+    do {
+      before = clients.size();
+      ((AbstractNioChannel.NioUnsafe) listener.unsafe()).read();
+    } while (clients.size() >= before + ACCEPTS_A_READ && budget.connectionsLeft() > 0);
     listener.close();
   }
 
@@ -155,6 +172,9 @@
     for (ClientHandler client : new ArrayList<>(idle)) {
       client.closeIdle();
     }
+    for (ClientHandler client : new ArrayList<>(silent)) {
+      client.closeIdle();
+    }
   }
 
   private void tick() {
--- a/src/main/java/maplehall/DiscoveryClient.java
+++ b/src/main/java/maplehall/DiscoveryClient.java
@@ -61,23 +61,39 @@
   record News(long revision, boolean whole, List<Entry> entries) {}
 
   /**
-   * An empty line comes every 2 s. A watch that misses two of them is cut off, and what it does not
-   * deliver counts as told all the same.
+   * An empty line comes every 2 s. A watch that misses one by so much is cut off, and what it does
+   * not deliver counts as told all the same after 6 s; the next watch needs its time out of those.
    */
-  private static final long SILENCE_MILLIS = 5000;
+  private static final long SILENCE_MILLIS = 3200;
+
+  /** Before its first line a call waits in turn behind those of all other balancers. */
+  private static final long FIRST_SILENCE_MILLIS = 4500;
+
+  /** After a move the new address is tried again this soon, twice as long after each failure. */
+  private static final long MOVE_AGAIN_MILLIS = 200;
+
+  private static final int MOST_MOVE_DOUBLINGS = 3;
 
   private static final int CONNECT_MILLIS = 1000;
   private static final long KEPT_WATCH_AGAIN_MILLIS = 500;
   private static final int MOST_LINE_BYTES = 4 << 20;
 
+  /** Later starts would overflow the module's nanoseconds. */
+  private static final long MOST_STARTED_MILLIS = 9_000_000_000_000L;
+
   private final EventLoop loop;
-  private final InetSocketAddress address;
+  private InetSocketAddress address;
   private final boolean keepWatch;
   private final Bootstrap bootstrap;
   private Dispatcher dispatcher;
   private long revision = -1;
   private Call watch;
   private Call fetch;
+
+  /** The first watch at a new address, until its first line has come; then it is the watch. */
+  private Call move;
+
+  private int failedMoves;
   private boolean stopped;
 
   DiscoveryClient(EventLoop loop, InetSocketAddress address, boolean keepWatch) {
@@ -113,12 +129,49 @@
     stopped = true;
     close(watch);
     close(fetch);
+    close(move);
+  }
+
+  /**
+   * From now on asks at another address. The old watch is heard until the new one has spoken, so
+   * that no news falls between the two. The versions of one discovery need not be those of another:
+   * the new one is asked for the whole list, as a version that it has not reached yet would have it
+   * stay silent.
+   */
+  void moveTo(InetSocketAddress to) {
+    if (stopped || to.equals(address)) {
+      return;
+    }
+    address = to;
+    revision = -1;
+    failedMoves = 0;
+    openMove();
+  }
+
+  private void openMove() {
+    if (stopped) {
+      return;
+    }
+    close(move);
+    move = new Call("/discovery/hosts?stream=1", true);
+    move.open();
+  }
+
+  /** A call has brought its first line. */
+  private void spoke(Call call) {
+    if (call == move) {
+      move = null;
+      close(watch);
+      watch = call;
+    }
   }
 
   @Override
   public void watch(boolean enable) {
     close(watch);
     watch = null;
+    close(move); // Whatever is opened now goes to the new address anyway.
+    move = null;
     if (enable) {
       String index = revision >= 0 ? "&index=" + revision : "";
       watch = new Call("/discovery/hosts?stream=1" + index, true);
@@ -140,7 +193,21 @@
   }
 
   private void broken(Call call, String why) {
-    if (stopped || (call != watch && call != fetch)) {
+    if (stopped) {
+      return;
+    }
+    if (call == move) {
+      move = null;
+      Log.warn("discovery", "not yet at its new address: " + why);
+      long delay = MOVE_AGAIN_MILLIS << Math.min(failedMoves++, MOST_MOVE_DOUBLINGS);
+      loop.schedule(() -> moveAgain(), delay, MILLISECONDS);
+      return;
+    }
+    if (call == watch && move != null) {
+      watch = null; // The old address ends its watches; the new one is already being asked.
+      return;
+    }
+    if (call != watch && call != fetch) {
       return;
     }
     Log.warn("discovery", (call == watch ? "watch" : "list") + " broken: " + why);
@@ -162,8 +229,17 @@
     }
   }
 
-  private void news(News news) {
-    revision = news.revision();
+  /** Unless the module has opened a watch of its own meanwhile, at the same new address. */
+  private void moveAgain() {
+    if (move == null && (watch == null || !watch.uses(address))) {
+      openMove();
+    }
+  }
+
+  private void news(Call call, News news) {
+    if (call.uses(address)) {
+      revision = news.revision();
+    }
     dispatcher.onServers(news.whole() ? ListForm.WHOLE : ListForm.CHANGES, news.entries());
   }
 
@@ -204,7 +280,9 @@
         map.get("flavor") instanceof String kind ? kind : "",
         map.get("cell") instanceof Number cell ? cell.longValue() : 0,
         map.get("size") instanceof Number size ? size.doubleValue() : 1,
-        map.get("up_since_ms") instanceof Number since ? since.longValue() : 0);
+        map.get("up_since_ms") instanceof Number since
+            ? Math.max(0, Math.min(since.longValue(), MOST_STARTED_MILLIS))
+            : 0);
   }
 
   private static Health health(Object phase) {
@@ -225,6 +303,7 @@
   private final class Call extends ChannelInboundHandlerAdapter {
     private final String uri;
     private final boolean stream;
+    private final InetSocketAddress to = address;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
     private Channel channel;
     private Future<?> silence;
@@ -248,7 +327,7 @@
                       channel.pipeline().addLast(new HttpClientCodec(4096, 16384, 65536), call);
                     }
                   })
-              .connect(address);
+              .connect(to);
       channel = connecting.channel();
       heard();
       // Always later: a connect that fails at once must not be told inside the module's call.
@@ -262,22 +341,23 @@
       }
       FullHttpRequest request =
           new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
-      request
-          .headers()
-          .set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
+      request.headers().set(HttpHeaderNames.HOST, to.getHostString() + ":" + to.getPort());
       if (!stream) {
         request.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
       }
       channel.writeAndFlush(request);
     }
 
+    boolean uses(InetSocketAddress address) {
+      return to.equals(address);
+    }
+
     private void heard() {
       if (silence != null) {
         silence.cancel(false);
       }
-      silence =
-          loop.schedule(
-              () -> fail("silent for " + SILENCE_MILLIS + " ms"), SILENCE_MILLIS, MILLISECONDS);
+      long millis = told ? SILENCE_MILLIS : FIRST_SILENCE_MILLIS;
+      silence = loop.schedule(() -> fail("silent for " + millis + " ms"), millis, MILLISECONDS);
     }
 
     @Override
@@ -335,11 +415,13 @@
       if (!text.isEmpty()) {
         News news = parse(JSON.std.mapFrom(text));
         told = true;
-        news(news);
+        spoke(this);
+        news(this, news);
       } else if (!told) {
         // Nothing has changed since, but the module waits to hear that its call went through.
         told = true;
-        news(new News(revision, false, List.of()));
+        spoke(this);
+        news(this, new News(revision, false, List.of()));
       }
     }
 
@@ -348,7 +430,7 @@
         News news = parse(JSON.std.mapFrom(line.toString(StandardCharsets.UTF_8)));
         close();
         fetch = null;
-        news(news);
+        news(this, news);
       } else {
         fail("ended");
       }
--- a/src/main/java/maplehall/Dispatcher.java
+++ b/src/main/java/maplehall/Dispatcher.java
@@ -44,6 +44,10 @@
   private final Settings settings;
   private final Map<String, RequestClass> classes = new HashMap<>();
   private final Map<Long, LiveRequest> requests = new HashMap<>();
+
+  /** The ids of the requests that still owe an answer, as their clients named them. */
+  private final Set<String> open = new HashSet<>();
+
   private final Map<String, Upstream> upstreams = new HashMap<>();
   private final Map<Long, Upstream> upstreamsById = new HashMap<>();
   private final ArrayDeque<Runnable> events = new ArrayDeque<>();
@@ -75,6 +79,14 @@
     return name == null ? null : classes.get(name);
   }
 
+  /**
+   * Whether a request of this id waits for its answer here. Ids are new with every request, so a
+   * second one is a mistake or a forgery, and an upstream could not tell the two apart.
+   */
+  boolean isOpen(String name) {
+    return open.contains(name);
+  }
+
   int live() {
     return requests.size();
   }
@@ -123,8 +135,17 @@
     long now = clock.nowNanos();
     LiveRequest request =
         new LiveRequest(
-            nextRequestId++, client, now, ttlNanos, method, uri, forwarded(headers), body);
+            nextRequestId++,
+            headers.get(HeaderRules.REQUEST_ID),
+            client,
+            now,
+            ttlNanos,
+            method,
+            uri,
+            forwarded(headers),
+            body);
     requests.put(request.id, request);
+    open.add(request.name);
     client.taken(request);
     counters.requests++;
     String tenant = headers.get(HeaderRules.TENANT);
@@ -219,19 +240,14 @@
     }
     attempt.upstream.attempts--;
     counters.outcome(outcome);
-    boolean streamed = request.streaming == attempt;
-    if (outcome == Outcome.OK && streamed) {
-      request.client.endStream();
-    } else if (streamed) {
-      request.client.breakStream();
-    } else if (outcome == Outcome.OK && !request.over) {
+    if (outcome == Outcome.OK && !request.over) {
       answered(request);
       counters.served++;
       request.client.serve(head, body);
     } else if (body != null) {
       body.release();
     }
-    long until = streamed ? attempt.firstByteNanos : clock.nowNanos();
+    long until = clock.nowNanos();
     event(
         request,
         () -> {
@@ -251,35 +267,10 @@
         });
   }
 
-  @Override
-  public boolean streamBegins(LiveRequest.Attempt attempt, HttpResponse head) {
-    LiveRequest request = attempt.request;
-    if (!attempt.open || request.over) {
-      return false;
-    }
-    answered(request);
-    counters.served++;
-    request.streaming = attempt;
-    request.client.beginStream(head, attempt.connection);
-    event(
-        request,
-        () -> balancer.onFirst(clock.nowNanos(), request.id, attempt.number, attempt.upstream.id));
-    for (LiveRequest.Attempt other : List.copyOf(request.attempts)) {
-      if (other != attempt) {
-        callOff(other); // The answer is this attempt's now; a copy could only be waste.
-      }
-    }
-    return true;
-  }
-
-  @Override
-  public void streamPiece(LiveRequest.Attempt attempt, ByteBuf piece) {
-    attempt.request.client.streamPiece(piece);
-  }
-
   /** From here on nothing more is sent for the request. */
   private void answered(LiveRequest request) {
     request.over = true;
+    open.remove(request.name);
     request.deadline.cancel(false);
     forgetFinished(request);
   }
@@ -381,10 +372,7 @@
   public void cancel(long requestId, int number) {
     LiveRequest request = requests.get(requestId);
     if (request != null && number >= 0 && number < request.attempts.size()) {
-      LiveRequest.Attempt attempt = request.attempts.get(number);
-      if (request.streaming != attempt) {
-        callOff(attempt);
-      }
+      callOff(request.attempts.get(number));
     }
   }
 
--- a/src/main/java/maplehall/HeaderRules.java
+++ b/src/main/java/maplehall/HeaderRules.java
@@ -2,6 +2,9 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -32,14 +35,50 @@
           "content-length",
           "x-deadline");
 
+  /** The protocol's own headers go on even where a Connection header names them. */
+  private static final Set<String> OWN =
+      Set.of(
+          "x-request-id",
+          "x-class",
+          "x-tenant",
+          "x-retry",
+          "x-cost-hint",
+          "x-extras",
+          "idempotency-key");
+
   private HeaderRules() {}
 
+  /**
+   * What is unclear about where a request ends, or null. Only a plain length or plain chunks are
+   * read the same way by all; anything else could hide a second request from one of two readers.
+   */
+  static String framingFault(HttpRequest request) {
+    List<String> codings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+    if (codings.isEmpty()) {
+      return null;
+    }
+    if (codings.size() > 1
+        || !codings.get(0).equalsIgnoreCase("chunked")
+        || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+        || !request.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
+      return "unclear " + HttpHeaderNames.TRANSFER_ENCODING;
+    }
+    return null;
+  }
+
+  /** Whether a text is of visible ASCII characters, and not empty or longer than allowed. */
+  static boolean isToken(String text, int mostLength) {
+    return !text.isEmpty()
+        && text.length() <= mostLength
+        && text.chars().allMatch(c -> c > ' ' && c < 127);
+  }
+
   /** Copies what is meant for the other end. */
   static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
     for (Map.Entry<String, String> header : from) {
       String name = header.getKey().toLowerCase(Locale.ROOT);
       if (!HOP_BY_HOP.contains(name)
-          && !from.containsValue(HttpHeaderNames.CONNECTION, name, true)) {
+          && (OWN.contains(name) || !from.containsValue(HttpHeaderNames.CONNECTION, name, true))) {
         to.add(header.getKey(), header.getValue());
       }
     }
--- a/src/main/java/maplehall/LiveRequest.java
+++ b/src/main/java/maplehall/LiveRequest.java
@@ -21,7 +21,6 @@
     final Upstream upstream;
     final long sentNanos;
     boolean open = true;
-    long firstByteNanos;
     UpstreamConnection connection;
     Future<?> timeout;
 
@@ -34,6 +33,10 @@
   }
 
   final long id;
+
+  /** The client's name for it, which no other open request may have. */
+  final String name;
+
   final ClientHandler client;
   final long arrivedNanos;
   final long deadlineNanos;
@@ -44,11 +47,11 @@
   final List<Attempt> attempts = new ArrayList<>(2);
   int openAttempts;
   boolean over;
-  Attempt streaming;
   Future<?> deadline;
 
   LiveRequest(
       long id,
+      String name,
       ClientHandler client,
       long nowNanos,
       long ttlNanos,
@@ -57,6 +60,7 @@
       HttpHeaders headers,
       ByteBuf body) {
     this.id = id;
+    this.name = name;
     this.client = client;
     this.arrivedNanos = nowNanos;
     this.deadlineNanos = nowNanos + ttlNanos;
--- a/src/main/java/maplehall/Main.java
+++ b/src/main/java/maplehall/Main.java
@@ -33,7 +33,7 @@
       System.err.println(e.getMessage());
       return 1;
     }
-    Node node = new Node(config);
+    Node node = new Node(config, environment);
     try {
       node.start(config);
     } catch (Exception e) { // Netty throws the cause of a failed bind undeclared.
@@ -41,6 +41,7 @@
       return 1;
     }
     node.shutdown().install();
+    node.reload().install();
     Log.info("start", config.name() + " listens on " + node.address());
     return 0;
   }
--- a/src/main/java/maplehall/Node.java
+++ b/src/main/java/maplehall/Node.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.net.InetSocketAddress;
+import java.util.Map;
 
 /** One running balancer: its parts, put together on one event loop. */
 final class Node {
@@ -20,16 +21,18 @@
   private final Dispatcher dispatcher;
   private final DiscoveryClient discovery;
   private final Shutdown shutdown;
+  private final Reload reload;
   private long expectedTickNanos;
   private long latestTickNanos;
 
-  Node(NodeConfig config) {
+  Node(NodeConfig config, Map<String, String> environment) {
     budget = new Budget(config.sockets(), Budget.BODY_BYTES);
     server = new ClientServer(loop, clock, budget);
     pool = new UpstreamPool(loop, clock, budget, config.settings().limits(), server::evictIdle);
     dispatcher = new Dispatcher(loop, clock, config.settings(), config.seed(), pool);
     discovery = new DiscoveryClient(loop, config.discovery(), !config.settings().mustAsk());
     shutdown = new Shutdown(loop, server, dispatcher, discovery);
+    reload = new Reload(loop, environment, discovery);
   }
 
   /** Returns once clients can connect; fails if the address is taken. */
@@ -44,6 +47,10 @@
     return server.address();
   }
 
+  Reload reload() {
+    return reload;
+  }
+
   Shutdown shutdown() {
     return shutdown;
   }
--- /dev/null
+++ b/src/main/java/maplehall/StrictRequestDecoder.java
@@ -0,0 +1,44 @@
+package maplehall;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+
+/**
+ * Netty's decoder, less forgiving. A request with both a length and chunks means one thing here and
+ * may mean another at the upstream, and what the two read differently hides a second request; the
+ * decoder would drop the length and go on. It also counts reads, so that a started head shows.
+ * Could do harm only to a client that frames a body twice, which no sound one does.
+ */
+final class StrictRequestDecoder extends HttpRequestDecoder {
+  private static final int MOST_LINE_BYTES = 8 << 10;
+  private static final int MOST_HEAD_BYTES = 16 << 10;
+  private static final int MOST_CHUNK_BYTES = 16 << 10;
+
+  private int reads;
+
+  StrictRequestDecoder() {
+    super(
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(MOST_LINE_BYTES)
+            .setMaxHeaderSize(MOST_HEAD_BYTES)
+            .setMaxChunkSize(MOST_CHUNK_BYTES));
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+    reads++;
+    super.channelRead(ctx, message);
+  }
+
+  /** How often bytes have come; differs from an earlier figure if some came since. */
+  int reads() {
+    return reads;
+  }
+
+  @Override
+  protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+    throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
+  }
+}
--- a/src/main/java/maplehall/UpstreamConnection.java
+++ b/src/main/java/maplehall/UpstreamConnection.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import meadowtrack.api.Outcome;
 
 /**
@@ -26,8 +27,20 @@
  * written, and only an answer that is whole is ever passed on as one.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
-  /** Up to this size an answer is gathered whole before the client sees any of it. */
-  static final int GATHERED_BYTES = 64 << 10;
+  /**
+   * Bodies hold at most 64 KiB, so a longer answer is spoilt. An answer is gathered whole before
+   * the client sees any of it: one that was passed on piece by piece and then broke could not be
+   * tried again, and one that never ended held its buffers for as long as it liked.
+   */
+  static final int MOST_BODY_BYTES = 64 << 10;
+
+  /**
+   * An answer that has begun is complete within so long, or will never be: upstreams write it in
+   * one go. Guards against heads and bodies that stop short on a connection that stays open, and
+   * ought to against a machine that dies while it writes. Would do harm to an upstream that
+   * computes while it sends, or on a link that needs longer for 64 KiB.
+   */
+  static final long ANSWER_MILLIS = 1000;
 
   /** A longer body of an answer that is not served is not worth reading for the connection. */
   private static final int MOST_DISCARDED = 64 << 10;
@@ -36,14 +49,8 @@
 
   /** What becomes of an attempt. */
   interface Listener {
-    /** The attempt is over; for OK the answer stands ready, unless it was streamed. */
+    /** The attempt is over; for OK the answer stands ready. */
     void ended(LiveRequest.Attempt attempt, Outcome outcome, HttpResponse head, ByteBuf body);
-
-    /** A long answer has begun; false if nobody wants it. */
-    boolean streamBegins(LiveRequest.Attempt attempt, HttpResponse head);
-
-    /** The next piece of a long answer, to be released by the receiver. */
-    void streamPiece(LiveRequest.Attempt attempt, ByteBuf piece);
   }
 
   private enum Phase {
@@ -55,8 +62,6 @@
     INTERIM,
     /** An answer that may be served is being gathered. */
     GATHER,
-    /** It was long and goes on to the client piece by piece. */
-    STREAM,
     /** An answer to serve is complete; told once it is clear that nothing follows it. */
     COMPLETE,
     /** The outcome has been told; the rest is read so that the connection can be used again. */
@@ -66,6 +71,7 @@
   final Upstream upstream;
   private final UpstreamPool pool;
   private final Clock clock;
+  final StrictResponseDecoder decoder = new StrictResponseDecoder();
   private Channel channel;
   private Listener listener;
   private LiveRequest.Attempt attempt;
@@ -77,7 +83,10 @@
   private CompositeByteBuf gathered;
   private int discarded;
   private long idleSinceNanos;
-  private long heardNanos;
+  private int readsBefore;
+  private int readsAtInterim;
+  private boolean interim;
+  private Future<?> stall;
 
   UpstreamConnection(UpstreamPool pool, Clock clock, Upstream upstream) {
     this.pool = pool;
@@ -124,7 +133,8 @@
 
   private void write() {
     reusable = false;
-    heardNanos = clock.nowNanos();
+    readsBefore = decoder.reads();
+    interim = false;
     LiveRequest.Attempt now = attempt;
     long left = now.request.deadlineNanos - clock.nowNanos();
     channel
@@ -151,15 +161,15 @@
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     try {
-      heardNanos = clock.nowNanos();
-      upstream.silentSinceNanos = heardNanos;
+      upstream.silentSinceNanos = clock.nowNanos();
       if (closed) {
         return;
       }
       HttpObject part = (HttpObject) message;
-      if (part.decoderResult().isFailure()) {
-        Log.warn("malformed answer", upstream.name + ": " + part.decoderResult().cause());
-        broken();
+      if (phase == Phase.COMPLETE) {
+        reusable = false; // More than was asked for; what is complete stays so.
+      } else if (part.decoderResult().isFailure()) {
+        spoilt("malformed: " + part.decoderResult().cause());
       } else if (phase == Phase.IDLE) {
         Log.warn("unasked bytes", upstream.name + ": connection closed");
         close();
@@ -178,7 +188,7 @@
 
   private void head(HttpResponse response) {
     int status = response.status().code();
-    if (phase == Phase.COMPLETE || phase == Phase.DISCARD) {
+    if (phase == Phase.DISCARD) {
       reusable = false; // A second answer to one request.
     } else if (status >= 100 && status < 200 && status != 101) {
       phase = Phase.INTERIM;
@@ -188,7 +198,7 @@
       reusable = written && status != 101 && HttpUtil.isKeepAlive(response) && framed(response);
       phase = Phase.DISCARD;
       discarded = 0;
-      end(refused(response) ? Outcome.REFUSED : Outcome.ERROR);
+      end(refusedOrFailed(response));
       if (reusable) {
         channel.eventLoop().schedule(this::stopDiscarding, MOST_DISCARD_MILLIS, MILLISECONDS);
       } else {
@@ -206,10 +216,13 @@
   /**
    * Only the upstream's word that nothing ran makes a repeat safe; a bare 503 says no such thing.
    */
-  private static boolean refused(HttpResponse response) {
+  private static Outcome refusedOrFailed(HttpResponse response) {
     int status = response.status().code();
-    return (status == 503 || status == 504)
-        && "1".equals(response.headers().get(HeaderRules.NOT_RUN));
+    if ((status == 503 || status == 504)
+        && "1".equals(response.headers().get(HeaderRules.NOT_RUN))) {
+      return Outcome.REFUSED;
+    }
+    return status >= 400 && status < 500 ? Outcome.BAD_REQUEST : Outcome.ERROR;
   }
 
   private void answer(HttpResponse response) {
@@ -217,18 +230,17 @@
     // Without a length or chunks the end of the connection would be the end of the answer, and one
     // that was cut short would look whole.
     if (!written || !framed(response)) {
-      Log.warn("unusable answer", upstream.name + (written ? ": no length" : ": too early"));
-      broken();
+      spoilt(written ? "no length" : "too early");
+      return;
+    }
+    if (HttpUtil.getContentLength(response, 0L) > MOST_BODY_BYTES) {
+      spoilt("too long");
       return;
     }
     head = response;
     reusable = HttpUtil.isKeepAlive(response);
     phase = Phase.GATHER;
-    attempt.firstByteNanos = heardNanos;
     gathered = channel.alloc().compositeBuffer(1024);
-    if (HttpUtil.getContentLength(response, 0L) > GATHERED_BYTES) {
-      stream();
-    }
   }
 
   private static boolean framed(HttpResponse response) {
@@ -242,12 +254,14 @@
   private void content(HttpContent content) {
     boolean last = content instanceof LastHttpContent;
     switch (phase) {
-      case INTERIM -> phase = last ? Phase.HEAD : phase;
-      case GATHER -> gather(content, last);
-      case STREAM -> {
-        listener.streamPiece(attempt, content.content().retain());
-        phase = last ? Phase.COMPLETE : phase;
+      case INTERIM -> {
+        if (last) {
+          phase = Phase.HEAD;
+          interim = true;
+          readsAtInterim = decoder.reads();
+        }
       }
+      case GATHER -> gather(content, last);
       case DISCARD -> {
         discarded += content.content().readableBytes();
         if (discarded > MOST_DISCARDED) {
@@ -261,13 +275,15 @@
   }
 
   private void gather(HttpContent content, boolean last) {
+    if (gathered.readableBytes() + content.content().readableBytes() > MOST_BODY_BYTES) {
+      spoilt("too long");
+      return;
+    }
     if (content.content().isReadable()) {
       gathered.addComponent(true, compact(content.content()));
     }
     if (last) {
       phase = Phase.COMPLETE;
-    } else if (gathered.readableBytes() > GATHERED_BYTES) {
-      stream();
     }
   }
 
@@ -276,26 +292,26 @@
     return piece.readableBytes() < 1024 ? Unpooled.copiedBuffer(piece) : piece.retain();
   }
 
-  private void stream() {
-    phase = Phase.STREAM;
-    ByteBuf sofar = gathered;
-    gathered = null;
-    if (listener.streamBegins(attempt, head)) {
-      listener.streamPiece(attempt, sofar);
-    } else {
-      sofar.release();
-      end(Outcome.CANCELLED);
-      close();
-    }
-  }
-
   /**
    * Only here is an answer told and its connection given back: a second answer in the same read
    * would otherwise be taken for that of the next request.
    */
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
-    if (phase == Phase.COMPLETE && !closed) {
+    if (closed) {
+      return;
+    }
+    boolean came = decoder.reads() != readsBefore;
+    if (phase == Phase.IDLE && came) {
+      close(); // Bytes that nobody asked for, even if they make no message yet.
+    } else if (phase == Phase.HEAD && betweenMessages()) {
+      noStall(); // Interim answers came whole; the real one may take its time.
+    } else if (came && attempt != null && phase != Phase.COMPLETE && stall == null) {
+      LiveRequest.Attempt begun = attempt;
+      stall = channel.eventLoop().schedule(() -> stalled(begun), ANSWER_MILLIS, MILLISECONDS);
+    }
+    if (phase == Phase.COMPLETE) {
+      reusable &= !decoder.leftovers();
       ByteBuf body = gathered;
       gathered = null;
       LiveRequest.Attempt served = attempt;
@@ -307,8 +323,28 @@
     }
   }
 
+  private void stalled(LiveRequest.Attempt begun) {
+    stall = null;
+    if (attempt == begun && phase != Phase.COMPLETE) {
+      spoilt("it stopped short");
+    }
+  }
+
+  private boolean betweenMessages() {
+    return interim && decoder.reads() == readsAtInterim && !decoder.leftovers();
+  }
+
+  private void noStall() {
+    if (stall != null) {
+      stall.cancel(false);
+      stall = null;
+    }
+  }
+
   /** The connection goes back, unless one of the sides wants it closed. */
   private void settle() {
+    noStall();
+    readsBefore = decoder.reads();
     if (reusable && channel.isActive()) {
       phase = Phase.IDLE;
       idleSinceNanos = clock.nowNanos();
@@ -319,7 +355,22 @@
     }
   }
 
-  /** The connection broke or talks nonsense; before the last byte was written nothing can run. */
+  /**
+   * An answer came that is none. The request has run for all that is known, and its upstream is not
+   * cut off: it answers, and what spoils one upstream's answers may spoil every one's. The module
+   * counts it as an error, which is judged against the upstream's peers.
+   */
+  private void spoilt(String why) {
+    Log.warn("spoilt answer", upstream.name + ": " + why);
+    LiveRequest.Attempt over = attempt;
+    attempt = null;
+    close();
+    if (over != null) {
+      listener.ended(over, Outcome.ERROR, null, null);
+    }
+  }
+
+  /** The connection broke; before the last byte was written nothing can run. */
   private void broken() {
     LiveRequest.Attempt over = attempt;
     attempt = null;
@@ -355,6 +406,7 @@
       return;
     }
     closed = true;
+    noStall();
     pool.forget(this);
     if (gathered != null) {
       gathered.release();
@@ -378,17 +430,4 @@
   long idleSinceNanos() {
     return idleSinceNanos;
   }
-
-  /** When the upstream last said something, for streams that stall. */
-  long heardNanos() {
-    return heardNanos;
-  }
-
-  /** Backpressure from a client that reads a long answer slowly. */
-  void mayRead(boolean may) {
-    if (!closed) {
-      channel.config().setAutoRead(may);
-      heardNanos = clock.nowNanos();
-    }
-  }
 }
--- a/src/main/java/maplehall/UpstreamPool.java
+++ b/src/main/java/maplehall/UpstreamPool.java
@@ -7,7 +7,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -94,8 +94,7 @@
                   protected void initChannel(Channel channel) {
                     channel
                         .pipeline()
-                        .addLast(new HttpClientCodec(4096, 16384, 16384))
-                        .addLast(connection);
+                        .addLast(connection.decoder, new HttpRequestEncoder(), connection);
                   }
                 })
             .connect(attempt.upstream.address);
--- a/src/main/java/meadowtrack/api/Outcome.java
+++ b/src/main/java/meadowtrack/api/Outcome.java
@@ -6,6 +6,8 @@
   OK(false),
   /** The server answered with an error; the request may have run. */
   ERROR(false),
+  /** The server says that the request itself is at fault; another would say the same. */
+  BAD_REQUEST(false),
   /** Turned away before the server looked at it. */
   REFUSED(true),
   /** No answer in time. */
--- a/src/main/java/meadowtrack/core/Balancer.java
+++ b/src/main/java/meadowtrack/core/Balancer.java
@@ -166,6 +166,9 @@
     judge(nowNanos, attempt, outcome, tookNanos);
     if (terminal && !request.over) {
       finish(request, nowNanos);
+    } else if (outcome == Outcome.BAD_REQUEST && !request.over) {
+      actions.fail(request.id); // Sent elsewhere it would cost as much again and fare no better.
+      finish(request, nowNanos);
     } else if (!request.over) {
       goOn(request, nowNanos);
     }
--- a/src/main/java/meadowtrack/core/Membership.java
+++ b/src/main/java/meadowtrack/core/Membership.java
@@ -77,6 +77,7 @@
     for (ServerEntry entry : entries) {
       apply(nowNanos, entry);
     }
+    forgetGone();
     return -1;
   }
 
@@ -133,6 +134,14 @@
     }
   }
 
+  /**
+   * Machines are replaced under new ids for as long as a balancer runs. One that is gone is dropped
+   * when its last call has ended; if it comes back it is met as a stranger.
+   */
+  private void forgetGone() {
+    known.values().removeIf(server -> server.health == Health.GONE && server.inFlight == 0);
+  }
+
   private void withdraw(Server server) {
     if (server.poolIndex >= 0) {
       setOf(server).remove(server);
--- /dev/null
+++ b/src/test/java/maplehall/BadClientTest.java
@@ -0,0 +1,125 @@
+package maplehall;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What is no sound request gets an error or a close, and no upstream hears of it. */
+@Timeout(60)
+class BadClientTest {
+  private static final String HEAD =
+      "POST /api/x HTTP/1.1\r\nHost: a\r\nX-Request-Id: b1\r\nX-Class: publish\r\n";
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        "Content-Length: 60000000\r\n\r\n",
+        "Content-Length: 99999999999999999999\r\n\r\n",
+        "Content-Length: -1\r\n\r\n",
+        "X-Request-Id: b2\r\nContent-Length: 0\r\n\r\n",
+        "X-Deadline: soon\r\nContent-Length: 0\r\n\r\n",
+        "Content-Length: 100\r\n\r\nhalf a body, and then nothing"
+      })
+  void isTurnedAway(String rest) throws Exception {
+    try (Peer peer = Peer.serving("ok");
+        Fixture fixture = new Fixture().upstream(peer).start();
+        Client client = fixture.client()) {
+      int status = client.call(HEAD + rest).status();
+      assertTrue(status >= 400 && status < 500, "status " + status);
+      assertEquals(0, peer.requests.size());
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"", "GET /api/x HT", "GET /api/x HTTP/1.1\r\nX-Pad: a\r\n"})
+  void isNotWaitedForLong(String start) throws Exception {
+    try (Fixture fixture = new Fixture().start();
+        Client client = fixture.client()) {
+      client.send(start);
+      Http.Message answer = client.read();
+      if (start.isEmpty()) {
+        assertNull(answer);
+      } else {
+        assertEquals(408, answer.status());
+      }
+    }
+  }
+
+  @Test
+  void mayNotTakeTheIdOfAnOpenRequest() throws Exception {
+    CountDownLatch answer = new CountDownLatch(1);
+    try (Peer peer =
+            Peer.replying(
+                (connection, request) -> {
+                  answer.await();
+                  connection.answer(200, "", "mine");
+                });
+        Fixture fixture = new Fixture().upstream(peer).start();
+        Client owner = fixture.client();
+        Client other = fixture.client()) {
+      owner.send(Client.get("/api/x", "X-Deadline: 19\r\n"));
+      peer.request();
+      assertEquals(400, other.call(Client.get("/api/x", "")).status());
+      answer.countDown();
+      assertEquals("mine", owner.read().text());
+      assertEquals(0, peer.requests.size());
+    }
+  }
+
+  @Test
+  void floodsAreNotPassedOn() throws Exception {
+    try (Peer peer = Peer.serving("ok");
+        Fixture fixture = new Fixture().upstream(peer).start();
+        Client client = fixture.client()) {
+      StringBuilder flood = new StringBuilder();
+      for (int i = 0; i < 400; i++) {
+        flood.append(Client.get("/api/x", ""));
+      }
+      client.send(flood.toString());
+      int answers = 0;
+      try {
+        for (Http.Message next = client.read(); next != null; next = client.read()) {
+          answers++;
+        }
+      } catch (IOException e) {
+        // A reset ends the connection as well.
+      }
+      assertTrue(answers < 10 && peer.requests.size() < 10, answers + " answers");
+    }
+  }
+
+  @Test
+  void silentOnesDoNotKeepOthersOut() throws Exception {
+    List<Client> silent = new ArrayList<>();
+    try (Peer peer = Peer.serving("ok");
+        Fixture fixture = new Fixture().sockets(96).upstream(peer).start()) {
+      Client regular = fixture.client();
+      assertEquals(200, regular.call(Client.get("/api/x", "")).status());
+      for (int i = 0; i < 200; i++) {
+        silent.add(fixture.client());
+      }
+      try (Client late = fixture.client()) {
+        assertEquals(200, late.call(Client.get("/api/x", "")).status());
+      }
+      assertEquals(200, regular.call(Client.get("/api/x", "")).status(), "its connection is kept");
+      regular.close();
+    } finally {
+      for (Client client : silent) {
+        client.close();
+      }
+    }
+  }
+}
--- a/src/test/java/maplehall/Fixture.java
+++ b/src/test/java/maplehall/Fixture.java
@@ -1,6 +1,9 @@
 package maplehall;
 
+import com.fasterxml.jackson.jr.ob.JSON;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -16,6 +19,7 @@
   private boolean ask;
   private long sockets = 1024;
   private long mustAskNanos = 1_000_000_000L;
+  private Map<String, String> environment = Map.of();
   private Node node;
 
   Fixture() {
@@ -84,15 +88,29 @@
     return this;
   }
 
+  /** Writes the configuration to the file from which a reload reads it again. */
+  Fixture file(Path path) throws Exception {
+    Files.writeString(path, JSON.std.asString(config()));
+    environment = Map.of("EDGE_CONFIG", path.toString());
+    return this;
+  }
+
   private static Map<String, Object> type(String name, String effect) {
     return Map.of(
-        "name", name,
-        "idempotency", effect,
-        "group", "all",
-        "aim_ns", 5_000 * MS,
-        "hard_limit_ns", 20_000 * MS,
-        "window_ns", 5_000 * MS,
-        "importance", 1.0);
+        "name",
+        name,
+        "idempotency",
+        effect,
+        "group",
+        "all",
+        "aim_ns",
+        5_000 * MS,
+        "hard_limit_ns",
+        20_000 * MS,
+        "window_ns",
+        5_000 * MS,
+        "importance",
+        1.0);
   }
 
   Map<String, Object> config() {
@@ -126,7 +144,7 @@
 
   Fixture start() throws Exception {
     NodeConfig config = NodeConfig.of(config());
-    node = new Node(config);
+    node = new Node(config, environment);
     node.start(config);
     return this;
   }
--- /dev/null
+++ b/src/test/java/maplehall/ReloadTest.java
@@ -0,0 +1,59 @@
+package maplehall;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** SIGHUP moves the balancer to another discovery, and a file that is no good changes nothing. */
+@Timeout(60)
+class ReloadTest {
+  @TempDir Path folder;
+
+  private static Peer discovery(BlockingQueue<Peer.Connection> watches) throws Exception {
+    return Peer.replying(
+        (connection, request) -> {
+          connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+          watches.add(connection);
+        });
+  }
+
+  private static void line(Peer.Connection watch, String text) throws Exception {
+    watch.send(Integer.toHexString(text.length() + 1) + "\r\n" + text + "\n\r\n");
+  }
+
+  @Test
+  void listensToTheNewDiscoveryAndThenLeavesTheOld() throws Exception {
+    BlockingQueue<Peer.Connection> oldWatches = new LinkedBlockingQueue<>();
+    BlockingQueue<Peer.Connection> newWatches = new LinkedBlockingQueue<>();
+    Path file = folder.resolve("config.json");
+    try (Peer before = discovery(oldWatches);
+        Peer after = discovery(newWatches);
+        Peer first = Peer.serving("first");
+        Peer second = Peer.serving("second");
+        Fixture fixture = new Fixture().upstream(first).pushed(before).file(file).start();
+        Client client = fixture.client()) {
+      Peer.Connection old = oldWatches.poll(30, TimeUnit.SECONDS);
+      line(old, "");
+      Files.writeString(file, "{ no configuration");
+      fixture.node().reload().reload();
+      assertEquals("first", client.call(Client.get("/api/x", "")).text());
+
+      fixture.pushed(after).file(file);
+      fixture.node().reload().reload();
+      Peer.Connection watch = newWatches.poll(30, TimeUnit.SECONDS);
+      assertEquals("GET /discovery/hosts?stream=1 HTTP/1.1", after.request().start());
+      String member = Fixture.json("s-9", second.address(), "in_service");
+      line(watch, "{\"revision\":1,\"complete\":true,\"members\":[" + member + "]}");
+      assertTrue(before.ended.poll(30, TimeUnit.SECONDS) != null, "the old watch ends");
+      assertEquals("second", client.call(Client.get("/api/x", "")).text());
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/maplehall/SpoiltAnswerTest.java
@@ -0,0 +1,96 @@
+package maplehall;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Only the answer that was made for a request is served, and a spoilt one does not hold it up. */
+@Timeout(60)
+class SpoiltAnswerTest {
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok",
+        "HTTP/1.1 OK 200\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nX-Half: a head that stops",
+        "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\na body that stops",
+        "\u0001\u0002noise"
+      })
+  void fails(String answer) throws Exception {
+    try (Peer peer = Peer.replying((connection, request) -> connection.send(answer));
+        Fixture fixture = new Fixture().upstream(peer).start();
+        Client client = fixture.client()) {
+      assertEquals(502, client.call(Client.post("publish", "X-Deadline: 19\r\n", "x")).status());
+      assertEquals(1, peer.requests.size(), "it may have run and must not run again");
+    }
+  }
+
+  @Test
+  void isTriedAgainElsewhereWhereThatIsAllowed() throws Exception {
+    int[] asked = new int[1];
+    Peer.Reply reply =
+        (connection, request) -> {
+          boolean first;
+          synchronized (asked) {
+            first = asked[0]++ == 0;
+          }
+          if (first) {
+            connection.send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhal");
+          } else {
+            connection.answer(200, "", "whole");
+          }
+        };
+    try (Peer one = Peer.replying(reply);
+        Peer other = Peer.replying(reply);
+        Fixture fixture = new Fixture().upstream(one, other).start();
+        Client client = fixture.client()) {
+      assertEquals("whole", client.call(Client.get("/api/x", "")).text());
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", "noise", "\n"})
+  void moreThanBelongsToAnAnswerIsNotTheNextOne(String more) throws Exception {
+    try (Peer peer =
+            Peer.replying(
+                (connection, request) -> {
+                  String id = request.headers().get("x-request-id");
+                  connection.send(
+                      "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nX-Load: {\""
+                          + "\r\nContent-Length: "
+                          + id.length()
+                          + "\r\n\r\n"
+                          + id
+                          + more);
+                });
+        Fixture fixture = new Fixture().upstream(peer).start();
+        Client client = fixture.client()) {
+      for (int i = 0; i < 5; i++) {
+        String id = "id" + i;
+        String request = Client.get("/api/x", "").replace("r1", id);
+        assertEquals(id, client.call(request).text());
+      }
+    }
+  }
+
+  @Test
+  void aRequestThatTheUpstreamCallsBadIsNotSentToTheNext() throws Exception {
+    Peer.Reply reply = (connection, request) -> connection.answer(400, "", "");
+    try (Peer one = Peer.replying(reply);
+        Peer other = Peer.replying(reply);
+        Fixture fixture = new Fixture().upstream(one, other).start();
+        Client client = fixture.client()) {
+      Http.Message answer = client.call(Client.get("/api/x", ""));
+      assertNotEquals(200, answer.status());
+      assertEquals(1, one.requests.size() + other.requests.size());
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/meadowtrack/core/MembershipTest.java
@@ -0,0 +1,48 @@
+package meadowtrack.core;
+
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import meadowtrack.api.Health;
+import meadowtrack.api.ListForm;
+import meadowtrack.api.ServerEntry;
+import meadowtrack.api.Settings;
+import org.junit.jupiter.api.Test;
+
+/** Machines are replaced under new ids for as long as a balancer runs. */
+class MembershipTest {
+  private final Settings settings = Harness.settings(0, Harness.safe("view"));
+  private final Membership members =
+      new Membership(settings, new Harness(settings), new SplittableRandom(1));
+
+  private void news(ListForm form, Health health, long... ids) {
+    List<ServerEntry> entries =
+        java.util.Arrays.stream(ids)
+            .mapToObj(id -> new ServerEntry(id, "a", "std", 1, health, 1, 0))
+            .toList();
+    members.onNews(0, form, entries);
+  }
+
+  @Test
+  void theGoneAreForgotten() {
+    news(ListForm.WHOLE, Health.READY, 1, 2, 3);
+    news(ListForm.CHANGES, Health.GONE, 1);
+    assertNull(members.find(1));
+    news(ListForm.WHOLE, Health.READY, 3);
+    assertNull(members.find(2));
+    assertNotNull(members.find(3));
+  }
+
+  @Test
+  void butNotBeforeTheirLastCallHasEnded() {
+    news(ListForm.WHOLE, Health.READY, 1, 2);
+    members.find(1).inFlight = 1;
+    news(ListForm.WHOLE, Health.READY, 2);
+    assertNotNull(members.find(1));
+    members.find(1).inFlight = 0;
+    news(ListForm.CHANGES, Health.READY, 2);
+    assertNull(members.find(1));
+  }
+}
