Choose by own calls across sites, start windows from quotas, serve longer in a drain

Cause 1, from a line of the module's own view each second: one near server held most of 46 calls while three far ones stood half idle, in windows of 128; the share of far calls followed two delays and lagged by seconds. Ruled out: entry window (46 of 85), retries, resting or cold servers, the tiers below (nearly idle by then). Now a near server leads by two own calls at most (0, 1 and 2 tried), which is the design's "fewest own calls in flight" over one set; the steering is gone. Cause 2: a restarted balancer had windows of four on four servers under some 100 requests a second and refused 180 of 211 in its first second. Windows now start at the calls that the quotas make expected, four at least. Cause 3: both balancers restart within three seconds and closed their connections after 0.55 s, though clients use those that stay open.

--- a/src/main/java/maplehall/ClientHandler.java
+++ b/src/main/java/maplehall/ClientHandler.java
@@ -411,7 +411,7 @@
   }
 
   private boolean setKeepAlive(HttpResponse answer) {
-    boolean keep = keepAlive && !server.draining();
+    boolean keep = keepAlive && !server.closing();
     answer
         .headers()
         .set(
--- a/src/main/java/maplehall/ClientServer.java
+++ b/src/main/java/maplehall/ClientServer.java
@@ -40,6 +40,7 @@
   private UpstreamPool pool;
   private Channel listener;
   private boolean draining;
+  private boolean closing;
 
   ClientServer(EventLoop loop, Clock clock, Budget budget) {
     this.loop = loop;
@@ -152,11 +153,20 @@
     return draining;
   }
 
-  /** From now on answers ask for the connection to be closed. */
+  /** Not ready for new clients any more; those that are here are served. */
   void drain() {
     draining = true;
   }
 
+  boolean closing() {
+    return closing;
+  }
+
+  /** From now on answers ask for the connection to be closed. */
+  void stopTaking() {
+    closing = true;
+  }
+
   /** Takes no more connections, after those that have already come. */
   void stopListening() {
     int before;
--- a/src/main/java/maplehall/Dispatcher.java
+++ b/src/main/java/maplehall/Dispatcher.java
@@ -87,6 +87,11 @@
     return open.contains(name);
   }
 
+  /** What the module makes of the world. */
+  String figures() {
+    return balancer.figures(clock.nowNanos());
+  }
+
   int live() {
     return requests.size();
   }
@@ -198,6 +203,13 @@
     }
   }
 
+  /** No time is left for any decision: the process is about to be killed. */
+  void failAll() {
+    for (LiveRequest request : List.copyOf(requests.values())) {
+      abort(request);
+    }
+  }
+
   /** The client has closed its connection. */
   void onGone(LiveRequest request) {
     if (!request.over) {
--- a/src/main/java/maplehall/Node.java
+++ b/src/main/java/maplehall/Node.java
@@ -85,7 +85,8 @@
             + latestTickNanos / 1_000_000
             + " ms, heap "
             + (runtime.totalMemory() - runtime.freeMemory() >> 20)
-            + " MB");
+            + " MB; "
+            + dispatcher.figures());
     latestTickNanos = 0;
   }
 }
--- a/src/main/java/meadowtrack/core/Balancer.java
+++ b/src/main/java/meadowtrack/core/Balancer.java
@@ -38,9 +38,13 @@
   /** A server is judged faulty when its share of errors passes its peers' by this much. */
   static final double ERROR_MARGIN = 0.3;
 
-  static final double FAR_STEP = 0.02;
-  static final double FAR_LEAST = 0.03;
-  static final double FAR_MARGIN = 1.15;
+  /**
+   * Own calls by which a near server may lead a far one. A share of far calls that followed the two
+   * zones' delays lagged behind by seconds: a site with few servers filled them while the others
+   * stood half idle. Would do harm where a crossing takes as long as a call.
+   */
+  static final int FAR_CALLS = 2;
+
   static final long RATE_TAU_NANOS = 2_000_000_000L;
 
   /**
@@ -68,10 +72,6 @@
   private double retryTokens = RETRY_BURST;
   private double errorShare;
   private double level = 1;
-  private double nearDelay = 1;
-  private double farDelay = 1;
-  private int farCount;
-  private double farShare = FAR_LEAST;
   private double sendCount;
   private long sendCountNanos;
 
@@ -234,12 +234,10 @@
       server.coldTokens -= 1;
       return server;
     }
-    boolean farFirst = members.near.poolSize() == 0 || random.nextDouble() < farShare;
-    WorkingSet first = farFirst ? members.far : members.near;
-    WorkingSet second = farFirst ? members.near : members.far;
-    server = first.choose(request, nowNanos);
-    if (server == null) {
-      server = second.choose(request, nowNanos);
+    server = members.near.choose(request, nowNanos);
+    Server far = members.far.choose(request, nowNanos);
+    if (far != null && (server == null || server.inFlight > far.inFlight + FAR_CALLS)) {
+      server = far;
     }
     if (server == null) {
       server = members.near.any(request, nowNanos);
@@ -401,6 +399,24 @@
     }
   }
 
+  /** The module's own view in a line, to be held against what the sockets show. */
+  public String figures(long nowNanos) {
+    return "entry "
+        + entry
+        + ", retries left "
+        + (int) retryTokens
+        + ", level "
+        + Math.round(level * 100) / 100.0
+        + ", errors "
+        + Math.round(errorShare * 100) / 100.0
+        + ", waiting "
+        + waiting.size()
+        + ", requests "
+        + requests.size()
+        + "; "
+        + members.figures(nowNanos);
+  }
+
   // ---- judging servers ----
 
   private void judge(long nowNanos, Request.Attempt attempt, Outcome outcome, long tookNanos) {
@@ -435,7 +451,6 @@
     if (members.coldNow(server, nowNanos)) {
       return; // A cold server's delays are no measure of its normal ones.
     }
-    steerZones(server, Math.min(bare, DelayWindow.SAMPLE_BOUND));
     if (server.window.onCompletion(nowNanos, attempt.sentNanos, ratio, server.inFlight + 1)) {
       server.rest(nowNanos, random.nextDouble());
       members.setOf(server).leave(server);
@@ -462,19 +477,4 @@
     server.rest(nowNanos, random.nextDouble());
     members.setOf(server).leave(server);
   }
-
-  /** Near zones first; the share of far calls follows the difference of the two delays. */
-  private void steerZones(Server server, double ratio) {
-    if (members.near.poolSize() == 0 || members.far.poolSize() == 0) {
-      return;
-    }
-    if (server.near) {
-      nearDelay += 0.05 * (ratio - nearDelay);
-      farShare += nearDelay > FAR_MARGIN * farDelay ? FAR_STEP : -FAR_STEP;
-      farShare = Math.max(FAR_LEAST, Math.min(1 - FAR_LEAST, farShare));
-    } else {
-      // Far calls are few: the first ones count in full, or spilling over would start late.
-      farDelay += Math.max(0.05, 1.0 / ++farCount) * (ratio - farDelay);
-    }
-  }
 }
--- a/src/main/java/meadowtrack/core/DelayWindow.java
+++ b/src/main/java/meadowtrack/core/DelayWindow.java
@@ -17,6 +17,10 @@
   static final double ALPHA_SCALE = 0.5;
 
   static final double START = 4;
+
+  /** Bound of a start that is worked out from the expected traffic. */
+  static final double MOST_START = 24;
+
   static final double CAP = 256;
 
   /** Completions in one non-overlapping interval of the normal delay. */
@@ -35,13 +39,17 @@
   private int recentCount;
   private int recentNext;
   private double recentSum;
-  private double window = START;
+  private double window;
   private double threshold = CAP;
   private double normal = 1;
   private double intervalSum;
   private int intervalCount;
   private long cutAtNanos = Long.MIN_VALUE;
 
+  DelayWindow(double start) {
+    window = Math.max(START, Math.min(MOST_START, start));
+  }
+
   /** Whole calls that may be in flight. */
   int size() {
     return (int) window;
--- a/src/main/java/meadowtrack/core/EntryWindow.java
+++ b/src/main/java/meadowtrack/core/EntryWindow.java
@@ -37,6 +37,11 @@
     return window;
   }
 
+  @Override
+  public String toString() {
+    return inFlight + " of " + (int) window + " at " + Math.round(delay * 100) / 100.0;
+  }
+
   void onStart() {
     inFlight++;
   }
--- a/src/main/java/meadowtrack/core/Membership.java
+++ b/src/main/java/meadowtrack/core/Membership.java
@@ -9,8 +9,10 @@
 import meadowtrack.api.Actions;
 import meadowtrack.api.Health;
 import meadowtrack.api.ListForm;
+import meadowtrack.api.RequestClass;
 import meadowtrack.api.ServerEntry;
 import meadowtrack.api.Settings;
+import meadowtrack.api.Tenant;
 
 /** Follows the list of servers: who is known, in service, cold; and asks where it must be asked. */
 final class Membership {
@@ -30,6 +32,7 @@
   private final List<Server> cold = new ArrayList<>();
   final WorkingSet near;
   final WorkingSet far;
+  private final double startCalls;
   private int coldTurn;
   private int failedAsks;
   private boolean subscribed;
@@ -42,6 +45,19 @@
     long idleNanos = settings.limits().keepAliveNanos();
     this.near = new WorkingSet(random, idleNanos);
     this.far = new WorkingSet(random, idleNanos);
+    this.startCalls = expectedCalls(settings);
+  }
+
+  /**
+   * Calls that this instance must expect to have in flight: its part of the stated quotas for a
+   * quarter of the aim. A balancer that came back under load with windows of four turned most of
+   * its clients away for seconds. Does harm if the quotas are far above what the fleet can do.
+   */
+  private static double expectedCalls(Settings settings) {
+    double perSecond = settings.tenants().stream().mapToDouble(Tenant::quotaPerSecond).sum();
+    double aimNanos =
+        settings.classes().stream().mapToLong(RequestClass::aimNanos).average().orElse(0);
+    return perSecond / settings.instances() * aimNanos / 4e9;
   }
 
   /** Plans the first ask: spread by seed, since all instances may start at once. */
@@ -75,7 +91,7 @@
       dropMissing(entries);
     }
     for (ServerEntry entry : entries) {
-      apply(nowNanos, entry);
+      apply(nowNanos, entry, Math.max(known.size(), entries.size()));
     }
     forgetGone();
     return -1;
@@ -89,6 +105,43 @@
     return near.poolSize() + far.poolSize();
   }
 
+  /** Servers by state, and the sum of the windows of those that serve. */
+  String figures(long nowNanos) {
+    int resting = 0;
+    int silent = 0;
+    int inFlight = 0;
+    double windows = 0;
+    for (Server server : known.values()) {
+      inFlight += server.inFlight;
+      if (server.resting(nowNanos)) {
+        resting++;
+      } else if (server.silent(nowNanos)) {
+        silent++;
+      } else if (server.health == Health.READY) {
+        windows += server.window.window();
+      }
+    }
+    return known.size()
+        + " servers, cold "
+        + cold.size()
+        + ", resting "
+        + resting
+        + ", silent "
+        + silent
+        + ", near "
+        + near.size()
+        + "/"
+        + near.poolSize()
+        + ", far "
+        + far.size()
+        + "/"
+        + far.poolSize()
+        + ", calls "
+        + inFlight
+        + " in windows of "
+        + (int) windows;
+  }
+
   int coldCount() {
     return cold.size();
   }
@@ -112,8 +165,12 @@
     }
   }
 
-  private void apply(long nowNanos, ServerEntry entry) {
-    Server server = known.computeIfAbsent(entry.id(), Server::new);
+  private void apply(long nowNanos, ServerEntry entry, int servers) {
+    Server server = known.get(entry.id());
+    if (server == null) {
+      server = new Server(entry.id(), startCalls / Math.max(1, servers));
+      known.put(server.id, server);
+    }
     boolean restarted =
         entry.startedNanos() != server.startedNanos && entry.startedNanos() > server.startedNanos;
     withdraw(server);
