--- a/src/main/java/maplehall/UpstreamConnection.java
+++ b/src/main/java/maplehall/UpstreamConnection.java
@@ -40,7 +40,7 @@
    * ought to against a machine that dies while it writes. Would do harm to an upstream that
    * computes while it sends, or on a link that needs longer for 64 KiB.
    */
-  static final long ANSWER_MILLIS = 1000;
+  static final long ANSWER_MILLIS = 500;
 
   /** A longer body of an answer that is not served is not worth reading for the connection. */
   private static final int MOST_DISCARDED = 64 << 10;
--- a/src/main/java/meadowtrack/core/Balancer.java
+++ b/src/main/java/meadowtrack/core/Balancer.java
@@ -423,8 +423,9 @@
     Server server = attempt.server;
     switch (outcome) {
       case OK -> served(nowNanos, attempt, tookNanos);
-      case ERROR -> errored(nowNanos, server);
-      case REFUSED, CONNECT_FAILED, RESET -> retire(nowNanos, server);
+      // A dying server resets all its calls at once; single resets may strike all servers alike.
+      case ERROR, RESET -> errored(nowNanos, server);
+      case REFUSED, CONNECT_FAILED -> retire(nowNanos, server);
       case TIMEOUT -> {
         if (server.heardNanos < attempt.sentNanos) {
           retire(nowNanos, server);
