Rest a server once a flight, and copy calls later

Cause: retire() counted every reset, refusal and failed connect of one flight as a new one. Four cuts in a row brought the threshold down to one and doubled the rest each time, to 12 s at worst, while completions were bound to one cut a flight. Ruled out: the entry window, retries, the list. Now all of them are bound to one cut a flight.

--- a/src/main/java/meadowtrack/core/Balancer.java
+++ b/src/main/java/meadowtrack/core/Balancer.java
@@ -18,8 +18,11 @@
  * and seed give the same actions.
  */
 public final class Balancer {
-  /** A call is overdue at this multiple of what its class takes at present. */
-  static final double OVERDUE = 4;
+  /**
+   * A call is overdue, and may get a second copy, at this multiple of what its class takes at
+   * present. Copies at 4 times and less cost more work than they saved calls.
+   */
+  static final double OVERDUE = 6;
 
   /** Weight of one result in the class's present delay. */
   static final double CLASS_WEIGHT = 0.02;
@@ -401,20 +404,15 @@
 
   /** The module's own view in a line, to be held against what the sockets show. */
   public String figures(long nowNanos) {
-    return "entry "
-        + entry
-        + ", retries left "
-        + (int) retryTokens
-        + ", level "
-        + Math.round(level * 100) / 100.0
-        + ", errors "
-        + Math.round(errorShare * 100) / 100.0
-        + ", waiting "
-        + waiting.size()
-        + ", requests "
-        + requests.size()
-        + "; "
-        + members.figures(nowNanos);
+    return String.format(
+        "entry %s, retries left %.0f, level %.2f, errors %.2f, waiting %d, requests %d; %s",
+        entry,
+        retryTokens,
+        level,
+        errorShare,
+        waiting.size(),
+        requests.size(),
+        members.figures(nowNanos));
   }
 
   // ---- judging servers ----
@@ -424,11 +422,11 @@
     switch (outcome) {
       case OK -> served(nowNanos, attempt, tookNanos);
       // A dying server resets all its calls at once; single resets may strike all servers alike.
-      case ERROR, RESET -> errored(nowNanos, server);
-      case REFUSED, CONNECT_FAILED -> retire(nowNanos, server);
+      case ERROR, RESET -> errored(nowNanos, attempt);
+      case REFUSED, CONNECT_FAILED -> retire(nowNanos, attempt);
       case TIMEOUT -> {
         if (server.heardNanos < attempt.sentNanos) {
-          retire(nowNanos, server);
+          retire(nowNanos, attempt);
         }
       }
       default -> {}
@@ -458,12 +456,13 @@
     }
   }
 
-  private void errored(long nowNanos, Server server) {
+  private void errored(long nowNanos, Request.Attempt attempt) {
+    Server server = attempt.server;
     server.heardNanos = nowNanos;
     noteError(server, 1);
     // At upper tiers an error may come from the tier below and then strikes all servers alike.
     if (server.errorShare > errorShare + ERROR_MARGIN) {
-      retire(nowNanos, server);
+      retire(nowNanos, attempt);
       server.errorShare /= 2;
     }
   }
@@ -473,7 +472,15 @@
     errorShare += CLASS_WEIGHT * (value - errorShare);
   }
 
-  private void retire(long nowNanos, Server server) {
+  /**
+   * Takes a server out for a while, once a flight. The calls of a flight fail together, and counted
+   * one by one they drew out the rest to many seconds and the threshold down to one.
+   */
+  private void retire(long nowNanos, Request.Attempt attempt) {
+    Server server = attempt.server;
+    if (server.window.cutSince(attempt.sentNanos)) {
+      return;
+    }
     server.window.cut(nowNanos);
     server.rest(nowNanos, random.nextDouble());
     members.setOf(server).leave(server);
--- a/src/main/java/meadowtrack/core/DelayWindow.java
+++ b/src/main/java/meadowtrack/core/DelayWindow.java
@@ -92,7 +92,7 @@
    * @param inFlight calls in flight when it completed, itself included
    */
   boolean onCompletion(long nowNanos, long sentNanos, double delay, int inFlight) {
-    if (sentNanos < cutAtNanos) {
+    if (cutSince(sentNanos)) {
       return false; // One cut a flight: calls sent before it would drag the threshold down to one.
     }
     double sample = Math.min(delay, SAMPLE_BOUND * reference());
@@ -111,6 +111,11 @@
     return false;
   }
 
+  /** Whether the window has been cut since a call was sent. */
+  boolean cutSince(long sentNanos) {
+    return sentNanos < cutAtNanos;
+  }
+
   /** The threshold becomes half the window and the window one; the interval is void. */
   void cut(long nowNanos) {
     threshold = Math.max(1, window / 2);
--- a/src/main/java/meadowtrack/core/Membership.java
+++ b/src/main/java/meadowtrack/core/Membership.java
@@ -121,29 +121,18 @@
         windows += server.window.window();
       }
     }
-    return known.size()
-        + " servers, cold "
-        + cold.size()
-        + ", resting "
-        + resting
-        + ", silent "
-        + silent
-        + ", near "
-        + near.size()
-        + "/"
-        + near.poolSize()
-        + ", far "
-        + far.size()
-        + "/"
-        + far.poolSize()
-        + ", calls "
-        + inFlight
-        + " in windows of "
-        + (int) windows;
-  }
-
-  int coldCount() {
-    return cold.size();
+    return String.format(
+        "%d servers, cold %d, resting %d, silent %d, near %d/%d, far %d/%d, calls %d in %.0f",
+        known.size(),
+        cold.size(),
+        resting,
+        silent,
+        near.size(),
+        near.poolSize(),
+        far.size(),
+        far.poolSize(),
+        inFlight,
+        windows);
   }
 
   WorkingSet setOf(Server server) {
--- a/src/main/java/meadowtrack/core/Server.java
+++ b/src/main/java/meadowtrack/core/Server.java
@@ -13,6 +13,9 @@
   /** Weight of one result in the server's share of errors. */
   static final double ERROR_WEIGHT = 0.2;
 
+  /** Part of the time that makes a call overdue. */
+  static final double SILENT_SHARE = 0.67;
+
   final long id;
   String zone;
   long cell;
@@ -50,13 +53,14 @@
     return restUntilNanos > nowNanos;
   }
 
-  /** Silent: the oldest call is overdue and nothing at all came back for as long as that. */
+  /** Silent: nothing at all came back for most of the time that makes its oldest call overdue. */
   boolean silent(long nowNanos) {
     Request.Attempt head = oldest;
-    if (head == null || nowNanos < head.overdueNanos) {
+    if (head == null) {
       return false;
     }
-    return nowNanos - heardNanos > head.overdueNanos - head.sentNanos;
+    long quiet = nowNanos - Math.max(heardNanos, head.sentNanos);
+    return quiet > SILENT_SHARE * (head.overdueNanos - head.sentNanos);
   }
 
   boolean hasRoom(long nowNanos) {
