--- a/src/main/java/meadowtrack/core/Balancer.java
+++ b/src/main/java/meadowtrack/core/Balancer.java
@@ -20,9 +20,10 @@
 public final class Balancer {
   /**
    * A call is overdue, and may get a second copy, at this multiple of what its class takes at
-   * present. Copies at 4 times and less cost more work than they saved calls.
+   * present. Sooner copies cost more work than they save calls; later ones come too late where
+   * answers are spoilt or lost.
    */
-  static final double OVERDUE = 6;
+  static final double OVERDUE = 4;
 
   /** Weight of one result in the class's present delay. */
   static final double CLASS_WEIGHT = 0.02;
--- a/src/main/java/meadowtrack/core/Server.java
+++ b/src/main/java/meadowtrack/core/Server.java
@@ -13,9 +13,6 @@
   /** Weight of one result in the server's share of errors. */
   static final double ERROR_WEIGHT = 0.2;
 
-  /** Part of the time that makes a call overdue. */
-  static final double SILENT_SHARE = 0.67;
-
   final long id;
   String zone;
   long cell;
@@ -53,14 +50,14 @@
     return restUntilNanos > nowNanos;
   }
 
-  /** Silent: nothing at all came back for most of the time that makes its oldest call overdue. */
+  /** Silent: nothing at all came back for as long as makes its oldest call overdue. */
   boolean silent(long nowNanos) {
     Request.Attempt head = oldest;
     if (head == null) {
       return false;
     }
     long quiet = nowNanos - Math.max(heardNanos, head.sentNanos);
-    return quiet > SILENT_SHARE * (head.overdueNanos - head.sentNanos);
+    return quiet > head.overdueNanos - head.sentNanos;
   }
 
   boolean hasRoom(long nowNanos) {
