--- a/src/main/java/maplehall/Main.java
+++ b/src/main/java/maplehall/Main.java
@@ -2,7 +2,10 @@
 
 import java.util.Map;
 
-/** The command line: {@code serve} is the real balancer, {@code adapter} the simulator's. */
+/**
+ * The command line: {@code serve} is the real balancer, {@code adapter} the simulator's, and {@code
+ * rehearse} belongs to the build.
+ */
 public final class Main {
   private Main() {}
 
@@ -16,6 +19,7 @@
           System.exit(code);
         }
       }
+      case "rehearse" -> System.exit(rehearse());
       case "adapter" -> meadowtrack.adapter.Main.main(args);
       default -> {
         System.err.println("usage: java -jar maplehall.jar serve|adapter");
@@ -24,6 +28,17 @@
     }
   }
 
+  private static int rehearse() {
+    Log.setUp();
+    try {
+      Rehearsal.play();
+      return 0;
+    } catch (Exception e) {
+      Log.error("rehearsal", "failed", e);
+      return 1;
+    }
+  }
+
   private static int serve(Map<String, String> environment) {
     Log.setUp();
     NodeConfig config;
--- a/src/main/java/maplehall/Node.java
+++ b/src/main/java/maplehall/Node.java
@@ -31,7 +31,7 @@
     pool = new UpstreamPool(loop, clock, budget, config.settings().limits(), server::evictIdle);
     dispatcher = new Dispatcher(loop, clock, config.settings(), config.seed(), pool);
     discovery = new DiscoveryClient(loop, config.discovery(), !config.settings().mustAsk());
-    shutdown = new Shutdown(loop, server, dispatcher, discovery);
+    shutdown = new Shutdown(loop, config.settings(), server, dispatcher, discovery);
     reload = new Reload(loop, environment, discovery);
   }
 
--- a/src/main/java/maplehall/Shutdown.java
+++ b/src/main/java/maplehall/Shutdown.java
@@ -4,6 +4,8 @@
 
 import io.netty.channel.EventLoop;
 import java.util.concurrent.CountDownLatch;
+import meadowtrack.api.RequestClass;
+import meadowtrack.api.Settings;
 
 /**
  * SIGTERM: new connections still come for up to 0.4 s and are served. Clients use those that they
@@ -15,14 +17,26 @@
   /** Past the time for which the front may still send new connections. */
   static final long LISTEN_MILLIS = 550;
 
-  /** How long requests are taken on open connections. */
-  static final long TAKE_MILLIS = 1500;
+  /**
+   * SIGKILL comes no sooner after SIGTERM than the longest deadline, of these at most, and 0.7 s.
+   */
+  private static final long MOST_DEADLINE_MILLIS = 3000;
+
+  private static final long KILL_MILLIS = 700;
+
+  /**
+   * What is not answered so long before SIGKILL fails at once: an answer that SIGKILL finds owed is
+   * lost. Would do harm to long calls where SIGKILL comes later.
+   */
+  private static final long SPARE_MILLIS = 400;
 
   /**
-   * What is not answered by then fails at once: SIGKILL may come 3.7 s after SIGTERM, and an answer
-   * that it finds owed is lost. Would do harm to long calls where SIGKILL comes later.
+   * What a call is given from the end of the taking to that moment. Guards against restarts one
+   * after the other, where the balancer before is not back yet: requests that come in between find
+   * nobody. Taken so late some are failed that would have been answered elsewhere, had there been
+   * another balancer; the front sends those elsewhere by itself.
    */
-  static final long FINISH_MILLIS = 3300;
+  private static final long ANSWER_MILLIS = 1100;
 
   private final EventLoop loop;
   private final ClientServer server;
@@ -30,7 +44,21 @@
   private final DiscoveryClient discovery;
   private final CountDownLatch drained = new CountDownLatch(1);
 
-  Shutdown(EventLoop loop, ClientServer server, Dispatcher dispatcher, DiscoveryClient discovery) {
+  /** When what is owed fails, and until when requests are taken on open connections. */
+  private final long finishMillis;
+
+  private final long takeMillis;
+
+  Shutdown(
+      EventLoop loop,
+      Settings settings,
+      ClientServer server,
+      Dispatcher dispatcher,
+      DiscoveryClient discovery) {
+    long longest =
+        settings.classes().stream().mapToLong(RequestClass::deadlineNanos).max().orElse(0);
+    finishMillis = Math.min(longest / 1_000_000, MOST_DEADLINE_MILLIS) + KILL_MILLIS - SPARE_MILLIS;
+    takeMillis = Math.max(LISTEN_MILLIS, finishMillis - ANSWER_MILLIS);
     this.loop = loop;
     this.server = server;
     this.dispatcher = dispatcher;
@@ -60,8 +88,8 @@
           Log.info("shutdown", "draining, " + dispatcher.live() + " requests live");
           server.drain();
           loop.schedule(server::stopListening, LISTEN_MILLIS, MILLISECONDS);
-          loop.schedule(this::stopTaking, TAKE_MILLIS, MILLISECONDS);
-          loop.schedule(dispatcher::failAll, FINISH_MILLIS, MILLISECONDS);
+          loop.schedule(this::stopTaking, takeMillis, MILLISECONDS);
+          loop.schedule(dispatcher::failAll, finishMillis, MILLISECONDS);
         });
     return drained;
   }
--- a/src/test/java/maplehall/Fixture.java
+++ b/src/test/java/maplehall/Fixture.java
@@ -18,6 +18,7 @@
   private String discovery = "127.0.0.1:1";
   private boolean ask;
   private long sockets = 1024;
+  private long longestNanos = 20_000 * MS;
   private long mustAskNanos = 1_000_000_000L;
   private Map<String, String> environment = Map.of();
   private Node node;
@@ -77,6 +78,12 @@
     return this;
   }
 
+  /** The deadline of every class. */
+  Fixture longest(long millis) {
+    longestNanos = millis * MS;
+    return this;
+  }
+
   Fixture asking(Peer peer) {
     discovery = peer.address();
     ask = true;
@@ -95,7 +102,7 @@
     return this;
   }
 
-  private static Map<String, Object> type(String name, String effect) {
+  private Map<String, Object> type(String name, String effect) {
     return Map.of(
         "name",
         name,
@@ -104,9 +111,9 @@
         "group",
         "all",
         "aim_ns",
-        5_000 * MS,
+        longestNanos / 4,
         "hard_limit_ns",
-        20_000 * MS,
+        longestNanos,
         "window_ns",
         5_000 * MS,
         "importance",
--- /dev/null
+++ b/src/test/java/maplehall/RehearsalTest.java
@@ -0,0 +1,15 @@
+package maplehall;
+
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A rehearsal that fails would fail the build, with no word of which exchange it was. */
+@Timeout(60)
+class RehearsalTest {
+  @Test
+  void playsItsExchangesToTheEnd() {
+    assertDoesNotThrow(Rehearsal::play);
+  }
+}
--- a/src/test/java/maplehall/ShutdownTest.java
+++ b/src/test/java/maplehall/ShutdownTest.java
@@ -43,4 +43,23 @@
       assertTrue(drained.await(10, TimeUnit.SECONDS));
     }
   }
+
+  /** SIGKILL comes the sooner, the shorter the deadlines: what is taken late would be lost. */
+  @Test
+  void endsTheSoonerTheShorterTheDeadlinesAre() throws Exception {
+    try (Peer peer = Peer.serving("ok");
+        Fixture slow = new Fixture().upstream(peer).start();
+        Fixture quick = new Fixture().upstream(peer).longest(300).start();
+        Client patient = slow.client();
+        Client brief = quick.client()) {
+      assertEquals(200, patient.call(Client.get("/api/x", "")).status());
+      assertEquals(200, brief.call(Client.get("/api/x", "")).status());
+      CountDownLatch later = slow.node().shutdown().drain();
+      CountDownLatch sooner = quick.node().shutdown().drain();
+      assertTrue(sooner.await(30, TimeUnit.SECONDS));
+      assertTrue(later.getCount() > 0, "begun first, and yet it takes longer");
+      assertEquals(200, patient.call(Client.get("/api/x", "")).status());
+      assertTrue(later.await(30, TimeUnit.SECONDS));
+    }
+  }
 }
