Tell callers of gRPC what proxies and resets say by the protocol's tables

A page of a proxy, an answer without a status and a reset were all told as INTERNAL, where a caller's library expects what the protocol's tables of HTTP statuses and reset codes say (404 UNIMPLEMENTED, 503 UNAVAILABLE, CANCEL CANCELLED, ...).

Change: Status.ofHttp and Status.ofReset; GrpcStream keeps them as the answer that is told if nothing better comes. Outcomes for the module stay, but for 429, 502, 503 and 504 with x-not-run, which are a turning away. Waiting in tests is in one place; MembersTable.loopback, used by nobody, is gone.

--- a/src/main/java/maplehall/grpc/GrpcStream.java
+++ b/src/main/java/maplehall/grpc/GrpcStream.java
@@ -122,9 +122,9 @@
     if (headers != null) {
       spoilt("headers in the middle");
     } else if (status == null || !"200".contentEquals(status)) {
-      spoilt("HTTP status " + status);
+      foreign(frame, "HTTP status " + status);
     } else if (!GrpcHeaders.isGrpc(frame)) {
-      spoilt("content type " + frame.get(GrpcHeaders.CONTENT_TYPE));
+      foreign(frame, "content type " + frame.get(GrpcHeaders.CONTENT_TYPE));
     } else {
       headers = frame;
       messages = new Messages(server.table().mostMessage());
@@ -153,7 +153,7 @@
     } else if (!passing && !gathered.add(data)) {
       tooMany();
     } else if (last) {
-      spoilt("no trailers");
+      foreign(headers, "no trailers");
     } else if (passing) {
       return passData(data);
     } else if (call.mode().passesOn(messages.begun(), gathered.size(), server.table().gathered())) {
@@ -209,7 +209,7 @@
     boolean neverRan = headers == null && frame.contains(GrpcHeaders.NOT_RUN);
     Outcome outcome = Status.outcome(status, neverRan);
     if (status == null) {
-      spoilt("trailers without a status");
+      foreign(headers == null ? frame : headers, "trailers without a status");
     } else if (passing) {
       call.passTrailers(GrpcHeaders.strip(frame));
       end(outcome, null);
@@ -254,6 +254,28 @@
     link.cancel(id);
   }
 
+  /**
+   * An answer over HTTP without a status of gRPC, as proxies give it. Its HTTP status says what the
+   * caller is told if nothing better comes; another server may do better, so it is an error, or a
+   * turning away where it says so.
+   */
+  private void foreign(Http2Headers head, String why) {
+    CharSequence code = head.status();
+    Status status = Status.ofHttp(code == null || code.length() != 3 ? 0 : number(code));
+    boolean notRun = headers == null && head.contains(GrpcHeaders.NOT_RUN);
+    Log.warn("foreign gRPC answer", upstream().name + ": " + why);
+    giveUp(status == Status.UNAVAILABLE && notRun ? Outcome.REFUSED : Outcome.ERROR, status, why);
+  }
+
+  private static int number(CharSequence digits) {
+    int number = 0;
+    for (int i = 0; i < digits.length(); i++) {
+      int digit = digits.charAt(i) - '0';
+      number = digit < 0 || digit > 9 ? 0 : 10 * number + digit;
+    }
+    return number;
+  }
+
   private void broken(Outcome outcome) {
     if (passing && !ended) {
       call.passBroken();
@@ -264,7 +286,13 @@
   @Override
   public void onReset(long code) {
     boolean refused = code == Http2Error.REFUSED_STREAM.code() && headers == null;
-    broken(refused ? Outcome.REFUSED : Outcome.RESET);
+    if (passing || refused) {
+      broken(refused ? Outcome.REFUSED : Outcome.RESET);
+      return;
+    }
+    Status status = Status.ofReset(code);
+    Http2Headers trailers = GrpcHeaders.trailersOnly(status, "the server reset the call: " + code);
+    end(Outcome.RESET, new GrpcAnswer(null, null, trailers));
   }
 
   @Override
--- a/src/main/java/maplehall/members/MembersTable.java
+++ b/src/main/java/maplehall/members/MembersTable.java
@@ -1,6 +1,5 @@
 package maplehall.members;
 
-import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
 import maplehall.config.Document;
@@ -65,9 +64,4 @@
   int mostBytes() {
     return (int) Math.min(64L << 20, (policy.mostServers() + 1000L) * MembersFormat.MOST_LINE);
   }
-
-  /** Whether an address is one that only this machine reaches. */
-  public static boolean loopback(InetSocketAddress address) {
-    return address.getAddress() != null && address.getAddress().isLoopbackAddress();
-  }
 }
--- a/src/main/java/meadowtrack/grpc/Status.java
+++ b/src/main/java/meadowtrack/grpc/Status.java
@@ -59,6 +59,38 @@
     return code < ALL.length ? ALL[code] : null;
   }
 
+  /**
+   * What an answer over HTTP that brings no status of gRPC comes to (the protocol's page on mapping
+   * HTTP statuses): mostly that of a proxy, or of a server that speaks something else.
+   *
+   * @param code the HTTP status; 200 too, as one that served would have said so
+   */
+  public static Status ofHttp(int code) {
+    return switch (code) {
+      case 400 -> INTERNAL;
+      case 401 -> UNAUTHENTICATED;
+      case 403 -> PERMISSION_DENIED;
+      case 404 -> UNIMPLEMENTED;
+      case 429, 502, 503, 504 -> UNAVAILABLE;
+      default -> UNKNOWN;
+    };
+  }
+
+  /**
+   * What a stream that its server reset comes to (the errors of the protocol's page on HTTP/2; the
+   * codes are those of RFC 9113, section 7).
+   */
+  public static Status ofReset(long code) {
+    return switch ((int) Math.min(Math.max(0, code), 0xff)) {
+      case 0x5 -> UNKNOWN; // STREAM_CLOSED has no meaning of its own for a call.
+      case 0x7 -> UNAVAILABLE;
+      case 0x8 -> CANCELLED;
+      case 0xb -> RESOURCE_EXHAUSTED;
+      case 0xc -> PERMISSION_DENIED;
+      default -> INTERNAL;
+    };
+  }
+
   /**
    * How an attempt ended that was answered with a status.
    *
--- a/src/test/java/maplehall/grpc/GrpcFixture.java
+++ b/src/test/java/maplehall/grpc/GrpcFixture.java
@@ -8,14 +8,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import maplehall.standalone.StandaloneConfig;
 import maplehall.standalone.StandaloneNode;
+import testing.Await;
 
 /** A balancer with a gRPC front in this process, and grpc-java clients of it. */
 final class GrpcFixture implements AutoCloseable {
-  private static final long WAIT_NANOS = TimeUnit.SECONDS.toNanos(60);
 
   private final Path folder = Files.createTempDirectory("heathswitch-grpc-");
   private final List<ManagedChannel> channels = new ArrayList<>();
@@ -145,7 +143,7 @@
 
   /** Waits until no request is live: each was answered, and all its attempts have ended. */
   void awaitNothingLeft() throws InterruptedException {
-    await(
+    Await.until(
         "nothing is left over",
         () -> {
           try {
@@ -156,16 +154,6 @@
         });
   }
 
-  static void await(String what, BooleanSupplier condition) throws InterruptedException {
-    long until = System.nanoTime() + WAIT_NANOS;
-    while (!condition.getAsBoolean()) {
-      if (System.nanoTime() > until) {
-        throw new AssertionError("waited in vain: " + what);
-      }
-      Thread.sleep(2);
-    }
-  }
-
   @Override
   public void close() throws Exception {
     channels.forEach(ManagedChannel::shutdownNow);
--- a/src/test/java/maplehall/grpc/HardCasesTest.java
+++ b/src/test/java/maplehall/grpc/HardCasesTest.java
@@ -23,9 +23,13 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import testing.Await;
 
 /** Servers that fail or vanish, ends that cross calls, readers that are slow. */
 @Timeout(120)
@@ -90,7 +94,7 @@
       for (int i = 0; i < size; i++) {
         unary(channel, Echo.UNARY, "w", results);
       }
-      GrpcFixture.await(
+      Await.until(
           "a wave of " + size,
           () -> Stream.of(servers).mapToLong(RawServer::whole).sum() + results.size() >= size);
       Stream.of(servers).forEach(RawServer::answerAll);
@@ -133,16 +137,16 @@
         for (int i = 0; i < sent; i++) {
           unary(channel, i % 2 == 0 ? Echo.UNARY : Echo.UNSAFE, "call", results);
         }
-        GrpcFixture.await("all out", () -> good.whole() + bad.whole() + results.size() >= sent);
+        Await.until("all out", () -> good.whole() + bad.whole() + results.size() >= sent);
       }
       List<RawServer.Call> flight = List.copyOf(bad.calls);
       // The other node is done with its own, so that there is room for those of the failing one.
       good.answering = true;
       good.answerAll();
-      GrpcFixture.await("the others", () -> results.size() == sent - flight.size());
+      Await.until("the others", () -> results.size() == sent - flight.size());
       int others = good.calls.size();
       flight.forEach(call -> call.reset(Http2Error.REFUSED_STREAM));
-      GrpcFixture.await("each is answered", () -> results.size() + bad.whole() == sent);
+      Await.until("each is answered", () -> results.size() + bad.whole() == sent);
       int again = bad.calls.size() - flight.size();
       assertTrue(again <= 5, "asked again " + again);
       bad.answerAll();
@@ -209,14 +213,62 @@
         GrpcFixture fixture = new GrpcFixture().server(raw.port()).start()) {
       BlockingQueue<Object> results = new LinkedBlockingQueue<>();
       unary(fixture.channel(), Echo.UNSAFE, "x", results);
-      GrpcFixture.await("the call", () -> raw.calls.size() == 1 && raw.calls.get(0).whole);
+      Await.until("the call", () -> raw.calls.size() == 1 && raw.calls.get(0).whole);
       raw.calls.get(0).answer(null);
       Status status = (Status) results.poll(30, TimeUnit.SECONDS);
-      assertEquals(Status.Code.INTERNAL, status.getCode());
+      assertEquals(Status.Code.UNKNOWN, status.getCode());
       assertEquals(1, raw.calls.size());
     }
   }
 
+  /** What answers is no gRPC server: its caller is told what the protocol's table says of it. */
+  @ParameterizedTest
+  @CsvSource({
+    "400, INTERNAL",
+    "401, UNAUTHENTICATED",
+    "403, PERMISSION_DENIED",
+    "404, UNIMPLEMENTED",
+    "429, UNAVAILABLE",
+    "502, UNAVAILABLE",
+    "503, UNAVAILABLE",
+    "504, UNAVAILABLE",
+    "418, UNKNOWN",
+    "200, UNKNOWN"
+  })
+  void anAnswerOverHttpAloneIsToldByItsStatus(String http, Status.Code expected) throws Exception {
+    Status status = statusOfOne(call -> call.foreign(http));
+    assertEquals(expected, status.getCode());
+    String words = String.valueOf(status.getDescription());
+    assertTrue(words.contains(http.equals("200") ? "text/html" : http), words);
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "CANCEL, CANCELLED",
+    "ENHANCE_YOUR_CALM, RESOURCE_EXHAUSTED",
+    "INADEQUATE_SECURITY, PERMISSION_DENIED",
+    "INTERNAL_ERROR, INTERNAL",
+    "STREAM_CLOSED, UNKNOWN"
+  })
+  void aResetIsToldByItsCode(Http2Error error, Status.Code expected) throws Exception {
+    assertEquals(expected, statusOfOne(call -> call.reset(error)).getCode());
+  }
+
+  /** Of an unsafe call that its one server, which may have run it, ends in this way. */
+  private static Status statusOfOne(Consumer<RawServer.Call> end) throws Exception {
+    try (RawServer raw = new RawServer(100);
+        GrpcFixture fixture = new GrpcFixture().server(raw.port()).start()) {
+      BlockingQueue<Object> results = new LinkedBlockingQueue<>();
+      unary(fixture.channel(), Echo.UNSAFE, "x", results);
+      Await.until("the call", () -> raw.calls.size() == 1 && raw.calls.get(0).whole);
+      end.accept(raw.calls.get(0));
+      Status status = (Status) results.poll(30, TimeUnit.SECONDS);
+      assertEquals(1, raw.calls.size());
+      fixture.awaitNothingLeft();
+      return status;
+    }
+  }
+
   /** Its kernel acknowledges and it says nothing more: PING finds out, long before the deadline. */
   @Test
   void aHalfClosedStreamWhoseServerHangsIsEnded() throws Exception {
@@ -228,7 +280,7 @@
               fixture.channel().newCall(Echo.PING, CallOptions.DEFAULT), observer(results));
       to.onNext(new byte[] {1});
       to.onCompleted();
-      GrpcFixture.await("the call", () -> raw.calls.size() == 1 && raw.calls.get(0).whole);
+      Await.until("the call", () -> raw.calls.size() == 1 && raw.calls.get(0).whole);
       raw.calls.get(0).begin();
       StatusRuntimeException error = (StatusRuntimeException) results.poll(30, TimeUnit.SECONDS);
       assertEquals(Status.Code.INTERNAL, error.getStatus().getCode());
@@ -248,8 +300,7 @@
         ClientCall<byte[], byte[]> call = channel.newCall(Echo.UNARY, CallOptions.DEFAULT);
         BlockingQueue<Object> results = new LinkedBlockingQueue<>();
         ClientCalls.asyncUnaryCall(call, new byte[1], observer(results));
-        GrpcFixture.await(
-            "the call", () -> raw.calls.size() > number && raw.calls.get(number).whole);
+        Await.until("the call", () -> raw.calls.size() > number && raw.calls.get(number).whole);
         Thread other = new Thread(() -> raw.calls.get(number).answer("0"));
         other.start();
         call.cancel("crossing", null);
@@ -275,8 +326,8 @@
       for (int i = 0; i < 10; i++) {
         unary(channel, Echo.UNSAFE, "x", results);
       }
-      GrpcFixture.await("all calls", () -> raw.calls.size() == 10);
-      GrpcFixture.await("all whole", () -> raw.calls.stream().allMatch(call -> call.whole));
+      Await.until("all calls", () -> raw.calls.size() == 10);
+      Await.until("all whole", () -> raw.calls.stream().allMatch(call -> call.whole));
       raw.calls.forEach(call -> call.answer("0"));
       for (int i = 0; i < 10; i++) {
         assertTrue(results.poll(30, TimeUnit.SECONDS) instanceof String);
@@ -312,7 +363,7 @@
       BlockingQueue<Object> results = new LinkedBlockingQueue<>();
       ClientCalls.asyncUnaryCall(
           fixture.channel().newCall(sleep, CallOptions.DEFAULT), new byte[1], observer(results));
-      GrpcFixture.await("running", () -> echo.calls.get() == 1);
+      Await.until("running", () -> echo.calls.get() == 1);
       echo.close();
       StatusRuntimeException error = (StatusRuntimeException) results.poll(30, TimeUnit.SECONDS);
       assertEquals("-1", error.getTrailers().get(PUSHBACK));
@@ -366,7 +417,7 @@
       // The sender stops by itself, long before all is sent: wait until it has not moved on.
       int[] last = {-1};
       int[] still = {0};
-      GrpcFixture.await(
+      Await.until(
           "the sender is held back",
           () -> {
             int now = ready.get();
@@ -438,12 +489,12 @@
         GrpcFixture fixture = new GrpcFixture().server(one.port()).server(two.port()).start()) {
       BlockingQueue<Object> results = new LinkedBlockingQueue<>();
       unary(fixture.channel(), Echo.UNSAFE, "x", results);
-      GrpcFixture.await("the first attempt", () -> one.whole() + two.whole() == 1);
+      Await.until("the first attempt", () -> one.whole() + two.whole() == 1);
       RawServer first = one.whole() == 1 ? one : two;
       RawServer second = first == one ? two : one;
       assertEquals(null, first.calls.get(0).headers.get("grpc-previous-rpc-attempts"));
       first.calls.get(0).reset(Http2Error.REFUSED_STREAM);
-      GrpcFixture.await("the second attempt", () -> second.whole() == 1);
+      Await.until("the second attempt", () -> second.whole() == 1);
       assertEquals("1", second.calls.get(0).headers.get("grpc-previous-rpc-attempts").toString());
       second.answerAll();
       assertTrue(results.poll(30, TimeUnit.SECONDS) instanceof String);
@@ -476,7 +527,7 @@
           socket.close();
         }
       }
-      GrpcFixture.await(
+      Await.until(
           "served again",
           () -> {
             unary(channel, Echo.UNSAFE, "y", results);
--- a/src/test/java/maplehall/grpc/InteropTest.java
+++ b/src/test/java/maplehall/grpc/InteropTest.java
@@ -28,6 +28,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.function.Executable;
+import testing.Await;
 
 /** The published interop cases, by grpc-java on both sides with the balancer between. */
 @Timeout(120)
@@ -43,7 +44,7 @@
 
   @AfterEach
   void stop() throws Exception {
-    GrpcFixture.await("nothing is left over", () -> live() == 0);
+    Await.until("nothing is left over", () -> live() == 0);
     fixture.close();
     echo.close();
   }
@@ -149,10 +150,10 @@
     ClientCall<byte[], byte[]> call = fixture.channel().newCall(Echo.UP, CallOptions.DEFAULT);
     StreamObserver<byte[]> to = ClientCalls.asyncClientStreamingCall(call, observer(answers));
     to.onNext(random(10));
-    GrpcFixture.await("begun", () -> echo.received.get() == 1);
+    Await.until("begun", () -> echo.received.get() == 1);
     call.cancel("test", null);
     assertEquals(Status.Code.CANCELLED, answers.poll(30, TimeUnit.SECONDS));
-    GrpcFixture.await("the server hears of it", () -> echo.cancelled.get() == 1);
+    Await.until("the server hears of it", () -> echo.cancelled.get() == 1);
   }
 
   @Test
@@ -164,7 +165,7 @@
     assertArrayEquals(random(31415), (byte[]) answers.poll(30, TimeUnit.SECONDS));
     call.cancel("test", null);
     assertEquals(Status.Code.CANCELLED, answers.poll(30, TimeUnit.SECONDS));
-    GrpcFixture.await("the server hears of it", () -> echo.cancelled.get() == 1);
+    Await.until("the server hears of it", () -> echo.cancelled.get() == 1);
   }
 
   @Test
@@ -180,7 +181,7 @@
         ClientCalls.asyncBidiStreamingCall(call, observer(answers));
       }
       assertEquals(Status.Code.DEADLINE_EXCEEDED, answers.poll(30, TimeUnit.SECONDS));
-      GrpcFixture.await("the server hears of it", () -> echo.cancelled.get() > before);
+      Await.until("the server hears of it", () -> echo.cancelled.get() > before);
     }
   }
 
--- a/src/test/java/maplehall/grpc/RawServer.java
+++ b/src/test/java/maplehall/grpc/RawServer.java
@@ -63,6 +63,15 @@
               true));
     }
 
+    /** An answer of something that speaks HTTP and no gRPC. */
+    void foreign(String status) {
+      over = true;
+      Http2Headers head = new DefaultHttp2Headers().status(status).set("content-type", "text/html");
+      ctx.write(new DefaultHttp2HeadersFrame(head, false));
+      ctx.writeAndFlush(
+          new DefaultHttp2DataFrame(ctx.alloc().buffer().writeBytes(new byte[] {'<'}), true));
+    }
+
     /** A message of so many bytes, and no end. */
     void message(int size) {
       ctx.writeAndFlush(
--- a/src/test/java/maplehall/grpc/StreamingTest.java
+++ b/src/test/java/maplehall/grpc/StreamingTest.java
@@ -28,6 +28,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import testing.Await;
 
 /** Calls that the table says nothing of, told from their traffic; bounds; what servers speak. */
 @Timeout(120)
@@ -49,7 +50,7 @@
   /** Calls until it is served: a server that looks slow on a busy machine is rested for a while. */
   private static void served(ManagedChannel channel, String text) throws Exception {
     BlockingQueue<Object> results = results();
-    GrpcFixture.await(
+    Await.until(
         "served",
         () -> {
           HardCasesTest.unary(channel, Echo.UNSAFE, text, results);
@@ -79,7 +80,7 @@
                 fixture.channel().newCall(Echo.UP, CallOptions.DEFAULT),
                 HardCasesTest.observer(results));
         to.onNext(new byte[10]);
-        GrpcFixture.await("begun", () -> one.calls.size() + two.calls.size() == 1);
+        Await.until("begun", () -> one.calls.size() + two.calls.size() == 1);
         RawServer first = one.calls.isEmpty() ? two : one;
         RawServer second = first == one ? two : one;
         if (messageFirst) {
@@ -90,7 +91,7 @@
           to.onNext(new byte[20]);
         }
         to.onCompleted();
-        GrpcFixture.await("whole elsewhere", () -> second.whole() == 1);
+        Await.until("whole elsewhere", () -> second.whole() == 1);
         assertEquals(15 + 25, second.calls.get(0).bytes.get());
         second.answerAll();
         assertEquals(1, ((byte[]) next(results)).length);
@@ -114,9 +115,9 @@
           raw.frame(RawClient.DATA, RawClient.END_STREAM, 1, RawClient.message("x"));
           raw.out.flush();
           long began = System.nanoTime();
-          GrpcFixture.await("the call", () -> server.calls.size() > number);
+          Await.until("the call", () -> server.calls.size() > number);
           RawServer.Call call = server.calls.get(i);
-          GrpcFixture.await("whole", () -> call.whole);
+          Await.until("whole", () -> call.whole);
           call.begin();
           call.message(10);
           Thread sender =
@@ -239,14 +240,14 @@
         HardCasesTest.unary(fixture.channel(), Echo.UNSAFE, "x " + sent, results);
         Thread.sleep(5);
       }
-      GrpcFixture.await("one is out", () -> turning.whole() >= 1);
+      Await.until("one is out", () -> turning.whole() >= 1);
       Thread.sleep(50);
       results.clear();
       int out = (int) turning.whole();
       fixture.rewrite(
           "s-1 127.0.0.1:" + turning.port() + " a store 0 1 in_service",
           "s-2 grpc://127.0.0.1:" + other.port() + " a store 0 1 in_service");
-      GrpcFixture.await(
+      Await.until(
           "the list is taken",
           () -> {
             MembersStatus status = fixture.node().members().status();
@@ -349,7 +350,7 @@
           new Metadata());
       call.sendMessage(new byte[4 << 20]);
       call.halfClose();
-      GrpcFixture.await("it has run", () -> echo.calls.get() == 1);
+      Await.until("it has run", () -> echo.calls.get() == 1);
       for (int i = 0; i < 40; i++) { // Few, as the large one has a deadline.
         served(channel, "small " + i);
       }
@@ -380,10 +381,10 @@
               new byte[] {1, 1},
               HardCasesTest.observer(results));
           int number = i;
-          GrpcFixture.await("call " + i, () -> server.calls.size() > number);
+          Await.until("call " + i, () -> server.calls.size() > number);
           server.calls.get(i).begin();
         }
-        GrpcFixture.await("all whole", () -> server.whole() == streams);
+        Await.until("all whole", () -> server.whole() == streams);
         assertNull(results.poll());
         server.calls.forEach(call -> call.trailers("0"));
         for (int i = 0; i < streams; i++) {
@@ -412,7 +413,7 @@
       }
       clients.get(0).close();
       BlockingQueue<Object> results = results();
-      GrpcFixture.await(
+      Await.until(
           "there is room again",
           () -> {
             HardCasesTest.unary(fixture.channel(), Echo.UNARY, "x", results);
--- a/src/test/java/maplehall/standalone/AdminTest.java
+++ b/src/test/java/maplehall/standalone/AdminTest.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import testing.Await;
 
 /** The admin listener: what it says, and that it changes nothing unasked. */
 @Timeout(120)
@@ -50,7 +51,7 @@
       assertEquals(List.of(fixture.workplace.members().toString()), members.get("source"));
       fixture.write(fixture.table(0));
       var watcher = fixture.node().members();
-      StandaloneFixture.await("held", () -> watcher.status().held() != null);
+      Await.until("held", () -> watcher.status().held() != null);
       members = json(ask(admin, "GET /members", ""));
       assertTrue(members.get("held").toString().contains("3 of 4 servers"), members.toString());
       String intent = "X-Heathswitch-Admin: test\r\nContent-Length: 0\r\n";
--- a/src/test/java/maplehall/standalone/StandaloneFixture.java
+++ b/src/test/java/maplehall/standalone/StandaloneFixture.java
@@ -9,7 +9,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import loadrig.balancer.Workplace;
 import loadrig.client.Kind;
 import loadrig.client.OpenLoop;
@@ -21,7 +20,6 @@
 /** A balancer of its own in this process, with stand-in servers and a load. */
 final class StandaloneFixture implements AutoCloseable {
   private static final InetSocketAddress ANY = new InetSocketAddress("127.0.0.1", 0);
-  private static final long WAIT_NANOS = TimeUnit.SECONDS.toNanos(60);
 
   final NioEventLoopGroup group = new NioEventLoopGroup(2);
   final List<StandIn> servers = new ArrayList<>();
@@ -78,16 +76,6 @@
     return new OpenLoop(group.next(), at, kinds, perSecond, 6000, 100, 5).start();
   }
 
-  static void await(String what, BooleanSupplier condition) throws InterruptedException {
-    long until = System.nanoTime() + WAIT_NANOS;
-    while (!condition.getAsBoolean()) {
-      if (System.nanoTime() > until) {
-        throw new AssertionError("waited in vain: " + what);
-      }
-      Thread.sleep(2);
-    }
-  }
-
   @Override
   public void close() throws Exception {
     if (node != null) {
--- a/src/test/java/maplehall/standalone/StandaloneTest.java
+++ b/src/test/java/maplehall/standalone/StandaloneTest.java
@@ -20,6 +20,7 @@
 import maplehall.members.MembersWatcher;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import testing.Await;
 
 /** A balancer that starts on its own, under load over loopback, while its files are rewritten. */
 @Timeout(120)
@@ -76,13 +77,13 @@
         long refused = members.status().refusedTotal();
         int cut = random.nextInt(1, good.length() - 1);
         Files.writeString(file, i % 3 == 0 ? "garbage " + i : good.substring(0, cut));
-        StandaloneFixture.await("refused", () -> members.status().refusedTotal() > refused);
+        Await.until("refused", () -> members.status().refusedTotal() > refused);
         long version = members.status().version();
         fixture.write(good);
-        StandaloneFixture.await("accepted", () -> members.status().version() > version);
+        Await.until("accepted", () -> members.status().version() > version);
       }
       long enough = load.tally().total() + 100;
-      StandaloneFixture.await("calls go on", () -> load.tally().total() > enough);
+      Await.until("calls go on", () -> load.tally().total() > enough);
       load.stop();
       assertEquals(0, lost(load));
       assertEquals(0, load.tally().count(Tally.Result.FAILED));
@@ -96,18 +97,17 @@
       fixture.write(fixture.table(0, 1, 2));
       fixture.start(QUICK);
       OpenLoop load = fixture.load(400);
-      StandaloneFixture.await("calls", () -> fixture.servers.get(2).received() > 20);
+      Await.until("calls", () -> fixture.servers.get(2).received() > 20);
       fixture.write(fixture.table(0, 1));
       MembersWatcher members = fixture.node().members();
-      StandaloneFixture.await(
-          "told", () -> members.status().version() == 2 && members.status().applied());
+      Await.until("told", () -> members.status().version() == 2 && members.status().applied());
       // What was being written when the loop heard of it may still arrive.
       long soon = load.tally().total() + 20;
-      StandaloneFixture.await("calls", () -> load.tally().total() > soon);
+      Await.until("calls", () -> load.tally().total() > soon);
       long received = fixture.servers.get(2).received();
-      StandaloneFixture.await("gone", () -> members.status().draining() == 0);
+      Await.until("gone", () -> members.status().draining() == 0);
       long later = load.tally().total() + 200;
-      StandaloneFixture.await("calls", () -> load.tally().total() > later);
+      Await.until("calls", () -> load.tally().total() > later);
       assertEquals(received, fixture.servers.get(2).received());
       load.stop();
       assertEquals(0, lost(load));
@@ -128,12 +128,11 @@
       String both = fixture.table(0, 1).replace("end 2", "end 10002");
       fixture.write(text + both);
       MembersWatcher members = fixture.node().members();
-      StandaloneFixture.await(
-          "told", () -> members.status().version() == 2 && members.status().applied());
+      Await.until("told", () -> members.status().version() == 2 && members.status().applied());
       assertEquals(10_002, members.status().servers());
       assertEquals(2, members.status().inService());
       OpenLoop load = fixture.load(400);
-      StandaloneFixture.await("calls", () -> load.tally().total() > 100);
+      Await.until("calls", () -> load.tally().total() > 100);
       load.stop();
       assertEquals(load.tally().total(), load.tally().count(Tally.Result.SERVED));
     }
@@ -150,18 +149,18 @@
       Path file = fixture.workplace.members();
       Files.writeString(file, next.substring(0, next.length() / 2));
       fixture.node().reload();
-      StandaloneFixture.await("refused", () -> members.status().refusedTotal() > 0);
+      Await.until("refused", () -> members.status().refusedTotal() > 0);
       assertEquals(1, members.status().version());
       Files.writeString(file, next);
       fixture.node().reload();
-      StandaloneFixture.await("accepted", () -> members.status().version() == 2);
+      Await.until("accepted", () -> members.status().version() == 2);
       // A configuration with faults changes nothing.
       Path config = fixture.workplace.folder().resolve("balancer.toml");
       Files.writeString(
           config, Files.readString(config).replace("members.txt", "other.txt") + "x = 1");
       fixture.node().reload();
       fixture.write(fixture.table(0, 2));
-      StandaloneFixture.await("accepted", () -> members.status().version() == 3);
+      Await.until("accepted", () -> members.status().version() == 3);
     }
   }
 
@@ -175,7 +174,7 @@
       fixture.start(QUICK);
       assertEquals(1, fixture.node().members().status().version());
       OpenLoop load = fixture.load(200);
-      StandaloneFixture.await("calls", () -> load.tally().count(Tally.Result.SERVED) > 20);
+      Await.until("calls", () -> load.tally().count(Tally.Result.SERVED) > 20);
       load.stop();
     }
   }
