--- a/src/main/java/loadrig/explore/Mutant.java
+++ b/src/main/java/loadrig/explore/Mutant.java
@@ -54,8 +54,8 @@
           new Mutant(DISPATCHER, "      upstream.attempts++; // Taken", "      // Taken"),
           new Mutant(
               DISPATCHER,
-              "      answered(request);\n      request.client.refuse",
-              "      request.client.refuse"),
+              "    answered(request);\n    request.client.refuse",
+              "    request.client.refuse"),
           new Mutant(DISPATCHER, "if (!attempt.open || request.over) {", "if (!attempt.open) {"),
           new Mutant(LIVE, "      lastError.release();\n", ""),
           new Mutant(LIVE, "    lastError = null;\n", ""),
--- a/src/main/java/loadrig/server/StandIn.java
+++ b/src/main/java/loadrig/server/StandIn.java
@@ -52,8 +52,9 @@
   private final AtomicLong received = new AtomicLong();
   private final AtomicLong served = new AtomicLong();
   private final AtomicLong turnedAway = new AtomicLong();
+  private volatile Consumer<String> runs = path -> {};
   private Channel listener;
-  private int working;
+  private volatile int working;
   private long startedNanos;
 
   public StandIn(EventLoop loop, String name, Shape shape, long seed, Observer observer) {
@@ -98,6 +99,17 @@
     return duty.start(loop, new InetSocketAddress("127.0.0.1", 0));
   }
 
+  /** Tells of each request by its path when work on it begins; of one that is turned away never. */
+  public StandIn onRun(Consumer<String> told) {
+    runs = told;
+    return this;
+  }
+
+  /** Whether it could begin to work on one more request just now. */
+  public boolean idle() {
+    return working < shape.cores();
+  }
+
   public String name() {
     return name;
   }
@@ -199,6 +211,7 @@
 
   private void work(Exchange exchange) {
     working++;
+    runs.accept(exchange.path());
     long nanos = (long) (shape.time().drawNanos(random) * faults.slowness() / speed());
     loop.schedule(() -> done(exchange), nanos, NANOSECONDS);
   }
--- a/src/main/java/maplehall/border/Caller.java
+++ b/src/main/java/maplehall/border/Caller.java
@@ -5,6 +5,11 @@
   /** The request is live; told before anything can answer it. */
   void taken(Ticket ticket);
 
+  /** Whether the request may be sent to another place; one that came from there may not. */
+  default boolean mayLeave() {
+    return true;
+  }
+
   /**
    * A whole answer, in the caller's own protocol; it belongs to the caller. Null where it has been
    * passed on as it came.
--- /dev/null
+++ b/src/main/java/maplehall/cli/Asking.java
@@ -0,0 +1,48 @@
+package maplehall.cli;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import maplehall.standalone.StandaloneConfig;
+import picocli.CommandLine.Model.CommandSpec;
+
+/** What every command does that asks a running balancer. */
+final class Asking {
+  /** One question to the admin listener. */
+  interface Question {
+    AdminClient.Answer to(AdminClient admin) throws IOException;
+  }
+
+  private Asking() {}
+
+  /** The configuration, or null with its faults told. */
+  static StandaloneConfig config(CommandSpec spec, Path file) {
+    StandaloneConfig.Result result = StandaloneConfig.read(file);
+    result.faults().forEach(fault -> spec.commandLine().getErr().println(fault));
+    return result.config();
+  }
+
+  /** Asks, and shows the answer; the exit code. */
+  static int ask(CommandSpec spec, Path config, Question question) {
+    StandaloneConfig read = config(spec, config);
+    if (read == null) {
+      return 1;
+    }
+    PrintWriter out = spec.commandLine().getOut();
+    PrintWriter err = spec.commandLine().getErr();
+    if (read.admin() == null) {
+      err.println(config + ": the table [admin] is missing, so no balancer can be asked");
+      return 1;
+    }
+    try {
+      AdminClient.Answer answer = question.to(new AdminClient(read.admin().listen()));
+      JSON pretty = JSON.std.with(JSON.Feature.PRETTY_PRINT_OUTPUT);
+      (answer.status() == 200 ? out : err).println(pretty.asString(answer.body()));
+      return answer.status() == 200 ? 0 : 1;
+    } catch (IOException e) {
+      err.println(read.admin().listen() + " does not answer: " + e.getMessage());
+      return 1;
+    }
+  }
+}
--- a/src/main/java/maplehall/cli/Commands.java
+++ b/src/main/java/maplehall/cli/Commands.java
@@ -4,6 +4,8 @@
 import java.nio.file.Path;
 import java.util.List;
 import maplehall.config.Fault;
+import maplehall.gateway.GatewayTable;
+import maplehall.gateway.SiteGateway;
 import maplehall.members.MembersCheck;
 import maplehall.members.MembersWatcher;
 import maplehall.runtime.Log;
@@ -22,7 +24,7 @@
     name = "heathswitch",
     description = "A load balancer that decides by a delay window for each server.",
     mixinStandardHelpOptions = true,
-    subcommands = {MembersCommand.class})
+    subcommands = {MembersCommand.class, GatewayCommand.class})
 public final class Commands {
   /** What a command returns when the process goes on running. */
   static final int RUNNING = -1;
@@ -57,7 +59,7 @@
     StandaloneNode balancer;
     try {
       balancer = new StandaloneNode(file, result.config());
-    } catch (MembersWatcher.CannotStart e) {
+    } catch (MembersWatcher.CannotStart | SiteGateway.CannotStart e) {
       err().println(file + ": " + e.getMessage());
       return 1;
     }
@@ -89,9 +91,15 @@
       out().println(fault);
     }
     report.lines().forEach(out()::println);
-    if (report.good()) {
+    GatewayTable gateway = result.config().gateway();
+    String unusable = gateway == null ? null : SiteGateway.fault(gateway);
+    if (unusable != null) {
+      out().println(unusable);
+    }
+    boolean good = report.good() && unusable == null;
+    if (good) {
       out().println(file + ": ok");
     }
-    return report.good() ? 0 : 1;
+    return good ? 0 : 1;
   }
 }
--- a/src/main/java/maplehall/cli/MembersCommand.java
+++ b/src/main/java/maplehall/cli/MembersCommand.java
@@ -1,6 +1,5 @@
 package maplehall.cli;
 
-import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.charset.StandardCharsets;
@@ -34,19 +33,13 @@
     return spec.commandLine().getErr();
   }
 
-  private StandaloneConfig config(Path file) {
-    StandaloneConfig.Result result = StandaloneConfig.read(file);
-    result.faults().forEach(fault -> err().println(fault));
-    return result.config();
-  }
-
   @Command(
       name = "check",
       description = "Says what a running balancer would say to these files in place of its own.")
   int check(
       @Option(names = "--config", required = true, paramLabel = "CONFIG") Path config,
       @Parameters(paramLabel = "FILE", arity = "1..*") List<Path> files) {
-    StandaloneConfig read = config(config);
+    StandaloneConfig read = Asking.config(spec, config);
     if (read == null) {
       return 1;
     }
@@ -84,27 +77,7 @@
     return ask(config, admin -> admin.post("members/confirm/" + version));
   }
 
-  private interface Question {
-    AdminClient.Answer to(AdminClient admin) throws IOException;
-  }
-
-  private int ask(Path config, Question question) {
-    StandaloneConfig read = config(config);
-    if (read == null) {
-      return 1;
-    }
-    if (read.admin() == null) {
-      err().println(config + ": the table [admin] is missing, so no balancer can be asked");
-      return 1;
-    }
-    try {
-      AdminClient.Answer answer = question.to(new AdminClient(read.admin().listen()));
-      JSON pretty = JSON.std.with(JSON.Feature.PRETTY_PRINT_OUTPUT);
-      (answer.status() == 200 ? out() : err()).println(pretty.asString(answer.body()));
-      return answer.status() == 200 ? 0 : 1;
-    } catch (IOException e) {
-      err().println(read.admin().listen() + " does not answer: " + e.getMessage());
-      return 1;
-    }
+  private int ask(Path config, Asking.Question question) {
+    return Asking.ask(spec, config, question);
   }
 }
--- a/src/main/java/maplehall/dispatch/Dispatcher.java
+++ b/src/main/java/maplehall/dispatch/Dispatcher.java
@@ -47,6 +47,9 @@
     List<Member> over(ListForm form, List<Member> entries);
   }
 
+  /** When to come back is said so at most where the module has said nothing of it. */
+  private static final long RETRY_AFTER_NANOS = 500_000_000L;
+
   /** The answer that the module still owes so long after the deadline is given without it. */
   private static final long OVERDUE_NANOS = 10_000_000L;
 
@@ -67,6 +70,10 @@
   public final Counters counters = new Counters();
   private Discovery discovery;
   private Overlay overlay = (form, entries) -> entries;
+
+  /** Where requests may go that have no room here, or null. */
+  private Elsewhere elsewhere;
+
   private boolean inEvent;
   private long nextRequestId = 1;
   private long nextUpstreamId = 1;
@@ -89,6 +96,11 @@
     overlay = over;
   }
 
+  /** Offers somebody what has no room here; before the start. */
+  public void overflow(Elsewhere to) {
+    elsewhere = to;
+  }
+
   private void closeIdle(Upstream upstream) {
     transports.forEach(transport -> transport.closeIdle(upstream));
   }
@@ -180,7 +192,9 @@
       Form form,
       Payload payload) {
     LiveRequest request =
-        new LiveRequest(nextRequestId++, name, client, payload, clock.nowNanos(), ttlNanos, this);
+        new LiveRequest(
+            nextRequestId++, name, client, type, payload, clock.nowNanos(), ttlNanos, this);
+    request.retryAfterNanos = Math.min(RETRY_AFTER_NANOS, settings.limits().maxRetryAfterNanos());
     requests.put(request.id, request);
     open.add(request.name);
     client.taken(request);
@@ -188,9 +202,11 @@
     request.deadline = loop.schedule(() -> onDeadline(request), ttlNanos, NANOSECONDS);
     event(
         request,
-        () ->
-            balancer.onRequest(
-                clock.nowNanos(), request.id, type.name(), tenant, ttlNanos, repeat, form));
+        () -> {
+          balancer.onRequest(
+              clock.nowNanos(), request.id, type.name(), tenant, ttlNanos, repeat, form);
+          offerHeld(request);
+        });
   }
 
   /** The client's time is up: open attempts end, and the module gives the answer. */
@@ -302,6 +318,7 @@
     }
     attempt.upstream().attempts--;
     counters.outcome(outcome);
+    request.neverRan &= outcome.neverRan();
     if (request.over) {
       release(answer);
     } else if (outcome == Outcome.OK) {
@@ -312,6 +329,13 @@
       request.keep(answer);
     }
     long until = clock.nowNanos();
+    if (attempt.away) {
+      endedAway(attempt, outcome, until);
+      return;
+    }
+    if (elsewhere != null && outcome == Outcome.OK) {
+      elsewhere.servedHere(request.type, until - request.wholeNanos);
+    }
     event(
         request,
         () -> {
@@ -325,12 +349,72 @@
                 outcome,
                 until - Math.max(attempt.sentNanos, request.wholeNanos),
                 request.over);
+            offerHeld(request);
           } finally {
             forgetFinished(request);
           }
         });
   }
 
+  // ---- what has no room here ----
+
+  /** One that the module holds back for want of room may go elsewhere at once. */
+  private void offerHeld(LiveRequest request) {
+    if (!request.over && request.openAttempts == 0 && sentAway(request)) {
+      balancer.onGone(clock.nowNanos(), request.id);
+    }
+  }
+
+  /** Sends a request elsewhere that nothing here has run; false if there is no place for it. */
+  private boolean sentAway(LiveRequest request) {
+    long now = clock.nowNanos();
+    if (elsewhere == null
+        || !request.neverRan
+        || !request.client.mayLeave()
+        || request.attempts.size() >= settings.limits().mostTries()) {
+      return false;
+    }
+    Upstream place =
+        elsewhere.choose(
+            request.type, request.payload, request.deadlineNanos - now, request.awayTries);
+    if (place == null) {
+      return false;
+    }
+    LiveRequest.Attempt attempt =
+        new LiveRequest.Attempt(request, request.attempts.size(), place, now, this);
+    attempt.away = true;
+    request.attempts.add(attempt);
+    request.openAttempts++;
+    request.awayTries++;
+    place.attempts++;
+    if (!elsewhere.start(attempt, request.type, request.payload)) {
+      ended(attempt, Outcome.MOOT, null);
+    }
+    return true;
+  }
+
+  /** What never ran may try once more; a failure is told as the request's own effect demands. */
+  private void endedAway(LiveRequest.Attempt attempt, Outcome outcome, long nowNanos) {
+    LiveRequest request = attempt.request;
+    request.openAttempts--;
+    elsewhere.ended(attempt.upstream(), request.type, outcome, nowNanos - attempt.sentNanos);
+    if (!request.over && outcome == Outcome.RESET && safe(request)) {
+      request.neverRan = true; // A safe one may run twice, so that a lost link is no loss.
+    }
+    if (!request.over && !sentAway(request)) {
+      if (request.neverRan || safe(request)) {
+        turnAway(request);
+      } else {
+        failed(request);
+      }
+    }
+    forgetFinished(request);
+  }
+
+  private static boolean safe(LiveRequest request) {
+    return request.type.effect() == RequestClass.Effect.SAFE;
+  }
+
   private static void release(Answer answer) {
     if (answer != null) {
       answer.release();
@@ -463,24 +547,38 @@
   public void refuse(long requestId, long retryAfterNanos) {
     LiveRequest request = requests.get(requestId);
     if (request != null && !request.over) {
-      counters.refused++;
-      Answer last = request.takeError(); // Else it ends with the request.
-      answered(request);
-      request.client.refuse(retryAfterNanos, last);
+      request.retryAfterNanos = retryAfterNanos;
+      if (elsewhere != null) {
+        elsewhere.refusedHere(request.client.mayLeave());
+      }
+      if (!sentAway(request)) {
+        turnAway(request);
+      }
     }
   }
 
+  private void turnAway(LiveRequest request) {
+    counters.refused++;
+    Answer last = request.takeError(); // Else it ends with the request.
+    answered(request);
+    request.client.refuse(request.retryAfterNanos, last);
+  }
+
   @Override
   public void fail(long requestId) {
     LiveRequest request = requests.get(requestId);
     if (request != null && !request.over) {
-      counters.failed++;
-      Answer last = request.takeError();
-      answered(request);
-      request.client.fail(last);
+      failed(request);
     }
   }
 
+  private void failed(LiveRequest request) {
+    counters.failed++;
+    Answer last = request.takeError();
+    answered(request);
+    request.client.fail(last);
+  }
+
   @Override
   public void setTimer(long delayNanos, long token) {
     loop.schedule(
--- a/src/main/java/maplehall/dispatch/LiveRequest.java
+++ b/src/main/java/maplehall/dispatch/LiveRequest.java
@@ -9,6 +9,7 @@
 import maplehall.border.Ticket;
 import maplehall.border.Upstream;
 import meadowtrack.api.Outcome;
+import meadowtrack.api.RequestClass;
 
 /** A request that has been taken: what it says, its attempts, and whether it has been answered. */
 final class LiveRequest implements Ticket {
@@ -29,6 +30,10 @@
     final int number;
     final long sentNanos;
     private final Listener listener;
+
+    /** Whether it was made elsewhere, of which the module knows nothing. */
+    boolean away;
+
     boolean open = true;
     Future<?> timeout;
 
@@ -67,6 +72,7 @@
   final String name;
 
   final Caller client;
+  final RequestClass type;
   final Payload payload;
   final long arrivedNanos;
   long deadlineNanos;
@@ -78,6 +84,16 @@
   final List<Attempt> attempts = new ArrayList<>(2);
   int openAttempts;
   boolean over;
+
+  /** Attempts that were made elsewhere; once there is one the module has let go of the request. */
+  int awayTries;
+
+  /** Whether all attempts so far never ran. */
+  boolean neverRan = true;
+
+  /** What its caller is told of when to come back, should it be turned away. */
+  long retryAfterNanos;
+
   Future<?> deadline;
 
   /** The last error that an upstream answered, to be passed on if nothing better comes. */
@@ -87,6 +103,7 @@
       long id,
       String name,
       Caller client,
+      RequestClass type,
       Payload payload,
       long nowNanos,
       long ttlNanos,
@@ -95,6 +112,7 @@
     this.id = id;
     this.name = name;
     this.client = client;
+    this.type = type;
     this.payload = payload;
     this.arrivedNanos = nowNanos;
     this.wholeNanos = nowNanos;
--- /dev/null
+++ b/src/main/java/maplehall/gateway/GatewayTable.java
@@ -0,0 +1,138 @@
+package maplehall.gateway;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import maplehall.config.Document;
+import maplehall.config.Section;
+import maplehall.runtime.Addresses;
+import meadowtrack.gateway.Trail;
+
+/**
+ * The table {@code [gateway]} of the configuration.
+ *
+ * @param site this site's name, which its certificate has to carry
+ * @param listen where gateways of other sites connect
+ * @param keys null for plain text, which a configuration has to ask for
+ * @param silenceNanos after which a link that answers no PING is broken
+ * @param mostStreams calls of one peer's connection at a time
+ * @param mostHeld bytes of other sites' calls that are held at a time
+ */
+public record GatewayTable(
+    String site,
+    InetSocketAddress listen,
+    Keys keys,
+    List<FarSite> sites,
+    long silenceNanos,
+    int mostStreams,
+    long mostHeld) {
+
+  /**
+   * What this gateway shows its peers, and whom it believes; all in PEM.
+   *
+   * @param certificate with the chain up to the authority, if there is one
+   * @param key PKCS #8, without a password
+   * @param authority the certificate of whoever signs for all sites
+   */
+  public record Keys(Path certificate, Path key, Path authority) {}
+
+  /** Another site and the addresses of its gateways. */
+  public record FarSite(String name, List<InetSocketAddress> gateways) {}
+
+  /** Reads and checks the table; null where there is none, and the gateway is off. */
+  public static GatewayTable read(Document document) {
+    Section table = document.root().table("gateway");
+    if (table == null) {
+      return null;
+    }
+    String site = name(table, "site");
+    InetSocketAddress listen = table.address("listen", true);
+    Keys keys = keys(document, table);
+    List<FarSite> sites = new ArrayList<>();
+    Set<String> names = new HashSet<>();
+    Set<InetSocketAddress> addresses = new HashSet<>();
+    for (Section section : table.tables("peer")) {
+      String name = name(section, "site");
+      if (name != null && name.equals(site)) {
+        section.fault("site", "is this site itself; another site expected");
+      } else if (name != null && !names.add(name)) {
+        section.fault("site", "\"" + name + "\" stands twice; another site expected");
+      }
+      sites.add(new FarSite(name, gateways(section, addresses)));
+      section.end();
+    }
+    if (sites.isEmpty()) {
+      table.fault("peer", "missing; at least one [[gateway.peer]] expected");
+    }
+    GatewayTable gateway =
+        new GatewayTable(
+            site,
+            listen,
+            keys,
+            List.copyOf(sites),
+            table.nanos("silence", "1s", "100ms", "1min"),
+            (int) table.whole("most_streams", 1000L, 1, 100_000),
+            table.whole("most_held", 16L << 20, 1 << 20, 1L << 32));
+    if (keys == null && table.flag("insecure", false)) {
+      onlyLoopback(table, listen, addresses);
+    }
+    table.end();
+    return listen == null ? null : gateway;
+  }
+
+  private static void onlyLoopback(
+      Section table, InetSocketAddress listen, Set<InetSocketAddress> addresses) {
+    boolean away =
+        listen != null && !listen.getAddress().isLoopbackAddress()
+            || addresses.stream().anyMatch(each -> !each.getAddress().isLoopbackAddress());
+    if (away) {
+      table.fault("insecure", "is for tests on loopback addresses alone; certificates expected");
+    }
+  }
+
+  private static String name(Section section, String key) {
+    String name = section.text(key, null);
+    if (name != null && !Trail.isSite(name)) {
+      section.fault(key, "is \"" + name + "\"; 1 to 32 of the characters a-z, 0-9 and - expected");
+    }
+    return name;
+  }
+
+  private static Keys keys(Document document, Section table) {
+    boolean plain = table.flag("insecure", false);
+    String certificate = table.optionalText("certificate");
+    String key = table.optionalText("key");
+    String authority = table.optionalText("authority");
+    if (plain) {
+      if (certificate != null || key != null || authority != null) {
+        table.fault("insecure", "and certificates exclude each other; one of the two expected");
+      }
+      return null;
+    }
+    if (certificate == null || key == null || authority == null) {
+      table.fault(
+          "", "certificate, key and authority expected, or insecure = true for a test on loopback");
+      return null;
+    }
+    return new Keys(
+        document.resolve(certificate), document.resolve(key), document.resolve(authority));
+  }
+
+  private static List<InetSocketAddress> gateways(Section section, Set<InetSocketAddress> all) {
+    List<InetSocketAddress> gateways = new ArrayList<>();
+    for (String text : section.texts("gateways", true)) {
+      InetSocketAddress address = Addresses.parse(text);
+      if (address == null) {
+        section.fault("gateways", "has \"" + text + "\"; ADDRESS:PORT expected");
+      } else if (!all.add(address)) {
+        section.fault("gateways", "has " + text + " a second time; each address once expected");
+      } else {
+        gateways.add(address);
+      }
+    }
+    return List.copyOf(gateways);
+  }
+}
--- /dev/null
+++ b/src/main/java/maplehall/gateway/Inward.java
@@ -0,0 +1,195 @@
+package maplehall.gateway;
+
+import static java.util.concurrent.TimeUnit.MILLISECONDS;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.handler.ssl.SslHandler;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import maplehall.dispatch.Dispatcher;
+import maplehall.http1.UpstreamPool;
+import maplehall.http2.Link;
+import maplehall.node.Front;
+import maplehall.runtime.Budget;
+import maplehall.runtime.Clock;
+import maplehall.runtime.Listeners;
+import maplehall.runtime.Log;
+import meadowtrack.gateway.Gateway;
+
+/** Listens for the gateways of other sites; with it the links to them begin and end. */
+final class Inward implements Front {
+  private static final long TICK_MILLIS = 50;
+  private static final int HANDSHAKE_MILLIS = 3000;
+  private static final int MOST_CONNECTIONS = 256;
+
+  private final GatewayTable table;
+  private final Gateway gateway;
+  private final Outward outward;
+  private final EventLoop loop;
+  private final Clock clock;
+  private final Budget budget;
+  private final Dispatcher dispatcher;
+  private final UpstreamPool pool;
+  private final Map<String, PeerCounts> peers = new LinkedHashMap<>();
+  private final Set<Channel> channels = new HashSet<>();
+  private final Set<InLink> links = new HashSet<>();
+  private Channel listener;
+  private long free;
+  private boolean draining;
+
+  Inward(GatewayTable table, Gateway gateway, Outward outward, Front.Parts parts) {
+    this.table = table;
+    this.gateway = gateway;
+    this.outward = outward;
+    loop = parts.loop();
+    clock = parts.clock();
+    budget = parts.budget();
+    dispatcher = parts.dispatcher();
+    pool = parts.pool();
+    free = table.mostHeld();
+    table.sites().forEach(site -> peers.put(site.name(), new PeerCounts()));
+  }
+
+  @Override
+  public void start() throws InterruptedException {
+    listener =
+        Listeners.on(loop, this::accepted)
+            .option(ChannelOption.SO_BACKLOG, 128)
+            .bind(table.listen())
+            .sync()
+            .channel();
+    loop.scheduleAtFixedRate(this::tick, 0, TICK_MILLIS, MILLISECONDS);
+  }
+
+  InetSocketAddress address() {
+    return (InetSocketAddress) listener.localAddress();
+  }
+
+  private void accepted(Channel channel) {
+    budget.opened();
+    channel.closeFuture().addListener(closed -> budget.closed());
+    if (channels.size() >= MOST_CONNECTIONS || budget.connectionsLeft() <= 0 || draining) {
+      channel.close();
+      return;
+    }
+    channels.add(channel);
+    channel.closeFuture().addListener(closed -> channels.remove(channel));
+    Identity identity = outward.identity();
+    if (identity == null) {
+      letIn(channel, null);
+      return;
+    }
+    SslHandler tls = identity.server().newHandler(channel.alloc());
+    tls.setHandshakeTimeoutMillis(HANDSHAKE_MILLIS);
+    channel
+        .pipeline()
+        .addLast(
+            tls,
+            new Verified(
+                tls,
+                name -> {
+                  boolean peer = isPeer(name);
+                  if (peer) {
+                    letIn(channel, name);
+                  }
+                  return peer;
+                }));
+  }
+
+  private void letIn(Channel channel, String peer) {
+    InLink link =
+        Link.build(
+            true,
+            table.mostStreams(),
+            SiteHeaders.MOST_BYTES,
+            SiteHeaders.CHANGING,
+            (decoder, encoder, settings) ->
+                new InLink(decoder, encoder, settings, this, channel, peer));
+    links.add(link);
+    channel.closeFuture().addListener(closed -> links.remove(link));
+    channel.pipeline().addLast(link);
+  }
+
+  private void tick() {
+    try {
+      outward.tick();
+      long now = now();
+      List.copyOf(links).forEach(link -> link.tick(now));
+    } catch (RuntimeException e) {
+      Log.error("gateway", "tick failed", e); // Thrown on, it would end all later ticks.
+    }
+  }
+
+  long now() {
+    return clock.nowNanos();
+  }
+
+  Gateway gateway() {
+    return gateway;
+  }
+
+  Dispatcher dispatcher() {
+    return dispatcher;
+  }
+
+  UpstreamPool pool() {
+    return pool;
+  }
+
+  boolean draining() {
+    return draining;
+  }
+
+  boolean isPeer(String site) {
+    return peers.containsKey(site);
+  }
+
+  /** Of a peer; of somebody else they are kept nowhere. */
+  PeerCounts counts(String site) {
+    PeerCounts counts = peers.get(site);
+    return counts == null ? new PeerCounts() : counts;
+  }
+
+  void forEachPeer(BiConsumer<String, PeerCounts> each) {
+    peers.forEach(each);
+  }
+
+  /** Takes the bytes of a call, or returns false and takes none. */
+  boolean hold(long bytes) {
+    boolean fits = bytes <= free;
+    free -= fits ? bytes : 0;
+    return fits;
+  }
+
+  void giveBack(long bytes) {
+    free += bytes;
+  }
+
+  @Override
+  public void drain() {
+    List.copyOf(links).forEach(InLink::leave);
+    draining = true;
+  }
+
+  @Override
+  public void stopListening() {
+    listener.close();
+  }
+
+  @Override
+  public int clients() {
+    return links.size();
+  }
+
+  @Override
+  public void closeIdle() {
+    List.copyOf(links).forEach(InLink::closeIfIdle);
+  }
+}
--- /dev/null
+++ b/src/main/java/maplehall/gateway/OutCall.java
@@ -0,0 +1,299 @@
+package maplehall.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http2.DefaultHttp2Headers;
+import io.netty.handler.codec.http2.Http2Error;
+import io.netty.handler.codec.http2.Http2Headers;
+import io.netty.handler.codec.http2.Http2Stream;
+import io.netty.util.AsciiString;
+import java.util.Map;
+import maplehall.border.Attempt;
+import maplehall.http1.AnswerSink;
+import maplehall.http1.AnswerSource;
+import maplehall.http1.HttpAnswer;
+import maplehall.http1.HttpPayload;
+import maplehall.http2.Link;
+import maplehall.runtime.Log;
+import meadowtrack.api.Outcome;
+import meadowtrack.api.RequestClass;
+import meadowtrack.gateway.Trail;
+
+/**
+ * One attempt at another site, as a stream of a link. It says truly whether the call may have run:
+ * it cannot before its last byte was written, nor where the far site says that it refused it.
+ */
+final class OutCall implements Link.Handler, Attempt.Carrier, AnswerSource {
+  /** A longer answer goes on as it comes, as one of a server does. */
+  private static final int GATHERED_BYTES = 64 << 10;
+
+  private static final int MOST_COMPONENTS = 1024;
+
+  private final Outward outward;
+  private final Far far;
+  private final OutLink link;
+  private final RequestClass type;
+  private final HttpPayload payload;
+  private final long sentNanos;
+  private Attempt attempt;
+  private int id = -1;
+  private boolean written;
+  private boolean ended;
+  private HttpResponse head;
+  private CompositeByteBuf gathered;
+
+  /** Whoever gets the answer as it comes, once that has begun. */
+  private AnswerSink sink;
+
+  private boolean paused;
+
+  /** Bytes of the stream's window that are kept back while paused. */
+  private int owed;
+
+  OutCall(
+      Outward outward,
+      Far far,
+      OutLink link,
+      Attempt attempt,
+      RequestClass type,
+      HttpPayload payload) {
+    this.outward = outward;
+    this.far = far;
+    this.link = link;
+    this.attempt = attempt;
+    this.type = type;
+    this.payload = payload;
+    sentNanos = outward.now();
+  }
+
+  /** Sends the call; false if the link has no stream for it, and then nothing was sent. */
+  boolean begin() {
+    ByteBuf body = payload.shareBody();
+    boolean empty = !body.isReadable();
+    id = link.open(this, headers(), empty);
+    if (id < 0) {
+      body.release();
+      return false;
+    }
+    attempt.carriedBy(this);
+    link.streamBegun();
+    if (empty) {
+      body.release();
+      written = true;
+    } else {
+      link.data(id, body, true).addListener(done -> written |= done.isSuccess());
+    }
+    return true;
+  }
+
+  private Http2Headers headers() {
+    long left = outward.gateway().leftThere(far.state, attempt.deadlineNanos() - sentNanos);
+    Http2Headers headers =
+        new DefaultHttp2Headers(false)
+            .method(payload.method().asciiName())
+            .scheme("https")
+            .path(payload.uri());
+    for (Map.Entry<String, String> header : payload.headers()) {
+      AsciiString name = AsciiString.of(header.getKey()).toLowerCase();
+      if (name.contentEquals(HttpHeaderNames.HOST)) {
+        headers.authority(header.getValue());
+      } else if (!SiteHeaders.own(name)) {
+        headers.add(name, header.getValue());
+      }
+    }
+    return headers
+        .set(SiteHeaders.TRAIL, Trail.from(outward.gateway().site()))
+        .set(SiteHeaders.EFFECT, AsciiString.of(type.effect().name()).toLowerCase())
+        .setLong(SiteHeaders.LEFT, Math.max(0, left / 1000));
+  }
+
+  // ---- the answer ----
+
+  @Override
+  public void onHeaders(Http2Headers frame, boolean last) {
+    if (ended && sink == null) {
+      return;
+    }
+    if (head != null) {
+      broken("headers in the middle");
+      return;
+    }
+    SiteHeaders.Result result = SiteHeaders.Result.of(frame.get(SiteHeaders.RESULT));
+    long took = SiteHeaders.number(frame, SiteHeaders.TOOK);
+    long room = SiteHeaders.number(frame, SiteHeaders.ROOM);
+    if (result == null || took < 0 || room < 0) {
+      broken("no answer of a gateway");
+      return;
+    }
+    long now = outward.now();
+    int said = (int) Math.min(Integer.MAX_VALUE, room);
+    outward.gateway().onAnswer(now, far.state, type, now - sentNanos, took * 1000, said);
+    switch (result) {
+      case REFUSED -> over(Outcome.REFUSED, last);
+      case FAILED -> over(Outcome.ERROR, last);
+      default -> served(frame, last);
+    }
+  }
+
+  private void over(Outcome outcome, boolean last) {
+    end(outcome, null);
+    if (!last) {
+      link.reset(id, Http2Error.CANCEL);
+    }
+  }
+
+  private void served(Http2Headers frame, boolean last) {
+    head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+    for (Map.Entry<CharSequence, CharSequence> header : frame) {
+      if (!SiteHeaders.own(header.getKey())) {
+        head.headers().add(header.getKey(), header.getValue());
+      }
+    }
+    gathered = Unpooled.compositeBuffer(MOST_COMPONENTS);
+    if (last) {
+      complete();
+    }
+  }
+
+  @Override
+  public int onData(ByteBuf data, boolean last) {
+    int bytes = data.readableBytes();
+    if (ended && sink == null) {
+      return bytes;
+    }
+    if (head == null) {
+      broken("data before headers");
+      return bytes;
+    }
+    if (sink != null) {
+      return passOn(data, last);
+    }
+    if (bytes > 0) {
+      gathered.addComponent(true, data.retainedSlice());
+    }
+    if (last) {
+      complete();
+    } else if (gathered.readableBytes() > GATHERED_BYTES) {
+      startPassing();
+    }
+    return bytes;
+  }
+
+  private void complete() {
+    ByteBuf body = gathered;
+    gathered = null;
+    end(Outcome.OK, new HttpAnswer(head, body));
+  }
+
+  /** From here on the request has this answer and no other. */
+  private void startPassing() {
+    Attempt begun = attempt;
+    if (begun == null || !begun.begun()) {
+      return; // It has another one, and this one is about to be called off.
+    }
+    sink = payload.sink();
+    sink.pass(head, this);
+    ByteBuf first = gathered;
+    gathered = null;
+    sink.passPiece(first);
+    sink.passFlush();
+    end(Outcome.OK, null);
+  }
+
+  private int passOn(ByteBuf data, boolean last) {
+    int bytes = data.readableBytes();
+    if (bytes > 0) {
+      sink.passPiece(data.retainedSlice());
+    }
+    if (last) {
+      AnswerSink to = sink;
+      sink = null;
+      to.passEnd();
+      return bytes;
+    }
+    sink.passFlush();
+    if (paused) {
+      owed += bytes;
+      return 0;
+    }
+    return bytes;
+  }
+
+  @Override
+  public void pause(boolean pause) {
+    paused = pause;
+    if (!pause && owed > 0) {
+      int bytes = owed;
+      owed = 0;
+      link.consume(id, bytes);
+    }
+  }
+
+  @Override
+  public void clientGone() {
+    sink = null;
+    link.reset(id, Http2Error.CANCEL);
+  }
+
+  /** What came is no answer: the call may have run. */
+  private void broken(String why) {
+    Log.warn("gateway", far.place.name + ": " + why);
+    lost(Outcome.ERROR);
+    link.reset(id, Http2Error.CANCEL);
+  }
+
+  private void lost(Outcome outcome) {
+    if (sink != null) {
+      AnswerSink to = sink;
+      sink = null;
+      to.passBroken();
+    }
+    end(outcome, null);
+  }
+
+  @Override
+  public void onReset(long code) {
+    boolean refused = code == Http2Error.REFUSED_STREAM.code() && head == null;
+    lost(refused ? Outcome.REFUSED : Outcome.RESET);
+  }
+
+  @Override
+  public void onClosed(Http2Stream stream) {
+    boolean unseen =
+        link.connection().goAwayReceived()
+            && id > link.connection().local().lastStreamKnownByPeer();
+    lost(unseen ? Outcome.REFUSED : written ? Outcome.RESET : Outcome.CONNECT_FAILED);
+    link.streamDone();
+  }
+
+  private void end(Outcome outcome, HttpAnswer answer) {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    if (gathered != null) {
+      gathered.release();
+      gathered = null;
+    }
+    Attempt over = attempt;
+    attempt = null;
+    if (over != null) {
+      over.ended(outcome, answer);
+    } else if (answer != null) {
+      answer.release();
+    }
+  }
+
+  @Override
+  public void abandon() {
+    attempt = null;
+    end(Outcome.CANCELLED, null);
+    link.reset(id, Http2Error.CANCEL);
+  }
+}
--- /dev/null
+++ b/src/main/java/maplehall/gateway/OutLink.java
@@ -0,0 +1,65 @@
+package maplehall.gateway;
+
+import io.netty.handler.codec.http2.Http2ConnectionDecoder;
+import io.netty.handler.codec.http2.Http2ConnectionEncoder;
+import io.netty.handler.codec.http2.Http2Settings;
+import maplehall.http2.Link;
+
+/** One connection to a gateway of another site, with this site's calls on it. */
+final class OutLink extends Link {
+  private final Far far;
+  private int streams;
+  private boolean leaving;
+
+  OutLink(
+      Http2ConnectionDecoder decoder,
+      Http2ConnectionEncoder encoder,
+      Http2Settings settings,
+      Far far) {
+    super(decoder, encoder, settings);
+    this.far = far;
+  }
+
+  void streamBegun() {
+    streams++;
+  }
+
+  void streamDone() {
+    streams--;
+    closeIfDone();
+  }
+
+  /** No new calls; it closes when those that are on are over. */
+  void leave() {
+    leaving = true;
+    closeIfDone();
+  }
+
+  private void closeIfDone() {
+    if (leaving && streams == 0) {
+      context().channel().close();
+    }
+  }
+
+  @Override
+  protected void heard() {
+    far.heard(this);
+  }
+
+  @Override
+  protected void onSettings(Http2Settings settings) {
+    far.ready(this);
+  }
+
+  @Override
+  protected void onPing(boolean answer, long content) {
+    if (answer) {
+      far.returned(this, content);
+    }
+  }
+
+  @Override
+  protected void onGoAway() {
+    far.leaving(this);
+  }
+}
--- a/src/main/java/maplehall/grpc/ClientLink.java
+++ b/src/main/java/maplehall/grpc/ClientLink.java
@@ -1,8 +1,5 @@
 package maplehall.grpc;
 
-import static java.util.concurrent.TimeUnit.MILLISECONDS;
-
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http2.Http2ConnectionDecoder;
@@ -11,6 +8,7 @@
 import io.netty.handler.codec.http2.Http2Settings;
 import java.util.ArrayList;
 import java.util.List;
+import maplehall.http2.Link;
 import maplehall.runtime.Log;
 
 /** One client's connection, with its streams' calls. */
@@ -20,9 +18,6 @@
 
   private static final long CONTROL_NANOS = 10_000_000_000L;
 
-  /** Between the two steps of a GOAWAY: calls that cross the first are still taken. */
-  private static final long GOAWAY_MILLIS = 550;
-
   /** An answer that its client does not take for so long is given up with its stream. */
   private static final long WRITE_NANOS = 10_000_000_000L;
 
@@ -54,7 +49,7 @@
   }
 
   @Override
-  Handler opened(int id) {
+  protected Handler opened(int id) {
     calls++;
     return new GrpcCall(server, this, id);
   }
@@ -88,38 +83,17 @@
     return stuck;
   }
 
-  /**
-   * GOAWAY in two steps (RFC 9113, section 6.8): first with the greatest id, so that calls on their
-   * way are still taken, then with that of the last one.
-   */
+  /** No new calls; those that are on end by themselves. */
   void leave() {
     if (leaving) {
       return;
     }
     leaving = true;
-    goAway(Integer.MAX_VALUE);
-    channel
-        .eventLoop()
-        .schedule(
-            () -> {
-              if (channel.isActive()) {
-                left = true;
-                goAway(connection().remote().lastStreamCreated());
-                closeIfIdle();
-              }
-            },
-            GOAWAY_MILLIS,
-            MILLISECONDS);
-  }
-
-  private void goAway(int lastId) {
-    goAway(
-        context(),
-        lastId,
-        Http2Error.NO_ERROR.code(),
-        Unpooled.EMPTY_BUFFER,
-        context().newPromise());
-    context().flush();
+    goAwayInOrder(
+        () -> {
+          left = true;
+          closeIfIdle();
+        });
   }
 
   void closeIfIdle() {
@@ -129,12 +103,12 @@
   }
 
   @Override
-  void onSettings(Http2Settings settings) {
+  protected void onSettings(Http2Settings settings) {
     control();
   }
 
   @Override
-  void onPing(boolean answer) {
+  protected void onPing(boolean answer, long content) {
     if (!answer) {
       control();
     }
@@ -148,14 +122,8 @@
     }
     if (++controlFrames == MOST_CONTROL_FRAMES) {
       Log.info("gRPC client", "flood of PING or SETTINGS: connection closed");
-      goAway(
-              context(),
-              connection().remote().lastStreamCreated(),
-              Http2Error.ENHANCE_YOUR_CALM.code(),
-              Unpooled.EMPTY_BUFFER,
-              context().newPromise())
+      goAway(connection().remote().lastStreamCreated(), Http2Error.ENHANCE_YOUR_CALM)
           .addListener(ChannelFutureListener.CLOSE);
-      context().flush();
     }
   }
 }
--- a/src/main/java/maplehall/grpc/GrpcCall.java
+++ b/src/main/java/maplehall/grpc/GrpcCall.java
@@ -16,6 +16,7 @@
 import maplehall.border.Caller;
 import maplehall.border.Payload;
 import maplehall.border.Ticket;
+import maplehall.http2.Link;
 import meadowtrack.api.Form;
 import meadowtrack.grpc.Gathering;
 import meadowtrack.grpc.Status;
@@ -86,6 +87,8 @@
       last(new DefaultHttp2Headers().status("405"));
     } else if (!GrpcHeaders.isGrpc(head)) {
       last(new DefaultHttp2Headers().status("415"));
+    } else if (server.forbidden() != null && head.contains(server.forbidden())) {
+      giveUp(Status.INVALID_ARGUMENT, server.forbidden() + " is not for clients");
     } else if (AsciiString.of(head.path()).startsWith(HEALTH)) {
       health(head.path().toString().substring(HEALTH.length()));
     } else {
--- a/src/main/java/maplehall/grpc/GrpcHeaders.java
+++ b/src/main/java/maplehall/grpc/GrpcHeaders.java
@@ -23,6 +23,12 @@
   static final AsciiString TE = AsciiString.cached("te");
   static final AsciiString TRAILERS = AsciiString.cached("trailers");
 
+  /** The time left is another in every call. */
+  static final Set<AsciiString> CHANGING = Set.of(TIMEOUT);
+
+  /** Bytes of the headers of a call or an answer. */
+  static final int MOST_BYTES = 16 << 10;
+
   static final AsciiString TENANT = AsciiString.cached("x-tenant");
 
   /**
--- a/src/main/java/maplehall/grpc/GrpcPool.java
+++ b/src/main/java/maplehall/grpc/GrpcPool.java
@@ -17,6 +17,7 @@
 import maplehall.border.Attempt;
 import maplehall.border.Transport;
 import maplehall.border.Upstream;
+import maplehall.http2.Link;
 import maplehall.runtime.Budget;
 import maplehall.runtime.Clock;
 import meadowtrack.api.Settings;
@@ -100,6 +101,8 @@
         Link.build(
             false,
             0,
+            GrpcHeaders.MOST_BYTES,
+            GrpcHeaders.CHANGING,
             (decoder, encoder, settings) ->
                 new UpstreamLink(decoder, encoder, settings, this, upstream, clock));
     links.computeIfAbsent(upstream, any -> new ArrayList<>(1)).add(link);
--- a/src/main/java/maplehall/grpc/GrpcServer.java
+++ b/src/main/java/maplehall/grpc/GrpcServer.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import maplehall.dispatch.Dispatcher;
+import maplehall.http2.Link;
 import maplehall.node.Front;
 import maplehall.runtime.Budget;
 import maplehall.runtime.Clock;
@@ -33,6 +34,7 @@
   private final Set<ClientLink> links = new HashSet<>();
   private Channel listener;
   private boolean draining;
+  private String forbidden;
   private long number;
 
   /** Makes the front and its transport; to be called on the loop's node before its start. */
@@ -76,6 +78,8 @@
         Link.build(
             true,
             table.mostStreams(),
+            GrpcHeaders.MOST_BYTES,
+            GrpcHeaders.CHANGING,
             (decoder, encoder, settings) -> new ClientLink(decoder, encoder, settings, this));
     links.add(link);
     channel.closeFuture().addListener(closed -> links.remove(link));
@@ -93,6 +97,15 @@
     List.copyOf(links).forEach(link -> link.tick(now));
   }
 
+  /** A header that no client may send; before the start. */
+  public void forbid(String header) {
+    forbidden = header;
+  }
+
+  String forbidden() {
+    return forbidden;
+  }
+
   Clock clock() {
     return clock;
   }
--- a/src/main/java/maplehall/grpc/GrpcStream.java
+++ b/src/main/java/maplehall/grpc/GrpcStream.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http2.Http2Stream;
 import maplehall.border.Attempt;
 import maplehall.border.Upstream;
+import maplehall.http2.Link;
 import maplehall.runtime.Log;
 import meadowtrack.api.Outcome;
 import meadowtrack.grpc.Gathering;
--- a/src/main/java/maplehall/grpc/UpstreamLink.java
+++ b/src/main/java/maplehall/grpc/UpstreamLink.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http2.Http2Settings;
 import java.util.ArrayDeque;
 import maplehall.border.Upstream;
+import maplehall.http2.Link;
 import maplehall.runtime.Clock;
 
 /** One connection to an upstream with many streams, each of them an attempt. */
@@ -136,19 +137,19 @@
   }
 
   @Override
-  void heard() {
+  protected void heard() {
     heardNanos = clock.nowNanos();
     upstream.silentSinceNanos = heardNanos;
     pingNanos = 0;
   }
 
   @Override
-  void spoke() {
+  protected void spoke() {
     asked = 0;
   }
 
   @Override
-  void onPing(boolean answer) {
+  protected void onPing(boolean answer, long content) {
     if (answer) {
       heard();
     }
@@ -159,7 +160,7 @@
    * waited beyond that go to other connections.
    */
   @Override
-  void onSettings(Http2Settings settings) {
+  protected void onSettings(Http2Settings settings) {
     Long most = settings.maxConcurrentStreams();
     if (most != null) {
       mostStreams = (int) Math.min(MOST_STREAMS, most);
@@ -183,7 +184,7 @@
   }
 
   @Override
-  void onGoAway() {
+  protected void onGoAway() {
     goAway();
   }
 
--- /dev/null
+++ b/src/main/java/maplehall/http1/AnswerSource.java
@@ -0,0 +1,10 @@
+package maplehall.http1;
+
+/** What brings an answer that goes on as it comes. */
+public interface AnswerSource {
+  /** Whoever gets it takes no more for now, or takes more again. */
+  void pause(boolean pause);
+
+  /** Whoever gets it has gone; nobody wants the rest. */
+  void clientGone();
+}
--- a/src/main/java/maplehall/http1/ClientHandler.java
+++ b/src/main/java/maplehall/http1/ClientHandler.java
@@ -46,7 +46,7 @@
 import meadowtrack.api.RequestClass;
 
 /** One client's connection: reads one request at a time and writes its one answer. */
-final class ClientHandler extends ChannelInboundHandlerAdapter implements Caller {
+final class ClientHandler extends ChannelInboundHandlerAdapter implements Caller, AnswerSink {
   /** A longer body is turned away by its length, before it is read. Clients send up to 32 MB. */
   static final long MOST_BODY_BYTES = 40L << 20;
 
@@ -155,7 +155,7 @@
   private boolean readingPaused;
 
   /** Brings an answer that goes on as it comes. */
-  private UpstreamConnection passing;
+  private AnswerSource passing;
 
   private boolean passKeep;
   private boolean passChunked;
@@ -280,6 +280,9 @@
     if (framing != null) {
       return framing;
     }
+    if (server.forbidden() != null && next.headers().contains(server.forbidden())) {
+      return server.forbidden() + " is not for clients";
+    }
     List<String> ids = next.headers().getAll(HeaderRules.REQUEST_ID);
     if (ids.size() != 1 || !HeaderRules.isToken(ids.get(0), MOST_ID_LENGTH)) {
       return "one readable " + HeaderRules.REQUEST_ID + " expected";
@@ -549,8 +552,8 @@
 
   // ---- an answer that goes on as it comes ----
 
-  /** The first of an answer that is too long or too slow to be gathered. */
-  void pass(HttpResponse from, UpstreamConnection source) {
+  @Override
+  public void pass(HttpResponse from, AnswerSource source) {
     request = null;
     passing = source;
     HttpResponse answer = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
@@ -569,27 +572,27 @@
     channel.write(answer);
   }
 
-  /** A piece of it, which it takes over. */
-  void passPiece(ByteBuf piece) {
+  @Override
+  public void passPiece(ByteBuf piece) {
     channel.write(new DefaultHttpContent(piece)).addListener(progress);
   }
 
-  /** Nothing more has come for now. */
-  void passFlush() {
+  @Override
+  public void passFlush() {
     channel.flush();
     if (passing != null) {
       passing.pause(!channel.isWritable());
     }
   }
 
-  /** All of it has come. */
-  void passEnd() {
+  @Override
+  public void passEnd() {
     passing = null;
     finish(passKeep, channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
   }
 
-  /** The rest will not come, and the client must be able to tell. */
-  void passBroken() {
+  @Override
+  public void passBroken() {
     passing = null;
     channel.config().setOption(ChannelOption.SO_LINGER, 0);
     channel.close();
@@ -728,7 +731,7 @@
     dropBody();
     dropPipelined();
     if (passing != null) {
-      UpstreamConnection source = passing;
+      AnswerSource source = passing;
       passing = null;
       source.clientGone();
     }
--- a/src/main/java/maplehall/http1/ClientServer.java
+++ b/src/main/java/maplehall/http1/ClientServer.java
@@ -47,6 +47,9 @@
   private boolean draining;
   private boolean closing;
 
+  /** A header that no client may send, or null. */
+  private String forbidden;
+
   public ClientServer(EventLoop loop, Clock clock, Budget budget) {
     this.loop = loop;
     this.clock = clock;
@@ -80,6 +83,15 @@
     return (InetSocketAddress) listener.localAddress();
   }
 
+  /** A header that no client may send; before the start. */
+  public void forbid(String header) {
+    forbidden = header;
+  }
+
+  String forbidden() {
+    return forbidden;
+  }
+
   UpstreamPool pool() {
     return pool;
   }
--- a/src/main/java/maplehall/http1/HttpPayload.java
+++ b/src/main/java/maplehall/http1/HttpPayload.java
@@ -17,29 +17,45 @@
 /** A request over HTTP/1.1, whole or with a body that still comes. */
 public final class HttpPayload implements Payload {
   private final UpstreamPool pool;
-  private final ClientHandler client;
+  private final AnswerSink sink;
   private final Upload upload;
   private final HttpMethod method;
   private final String uri;
   private final HttpHeaders headers;
   private final ByteBuf body;
 
+  /**
+   * One that is whole; takes over the body.
+   *
+   * @param sink whoever gets an answer that goes on as it comes
+   * @param headers that go on to an upstream, which the time left and the length are added to
+   */
+  public HttpPayload(
+      UpstreamPool pool,
+      AnswerSink sink,
+      HttpMethod method,
+      String uri,
+      HttpHeaders headers,
+      ByteBuf body) {
+    this(pool, sink, method, uri, headers, body, null);
+  }
+
   /**
    * Takes over the body.
    *
-   * @param client whoever gets an answer that goes on as it comes
+   * @param sink whoever gets an answer that goes on as it comes
    * @param upload brings the body where it still comes, and the body is then empty; else null
    */
   HttpPayload(
       UpstreamPool pool,
-      ClientHandler client,
+      AnswerSink sink,
       HttpMethod method,
       String uri,
       HttpHeaders headers,
       ByteBuf body,
       Upload upload) {
     this.pool = pool;
-    this.client = client;
+    this.sink = sink;
     this.upload = upload;
     this.method = method;
     this.uri = uri;
@@ -52,8 +68,32 @@
     return pool.start(attempt, this);
   }
 
-  ClientHandler client() {
-    return client;
+  /** Whoever gets an answer that goes on as it comes. */
+  public AnswerSink sink() {
+    return sink;
+  }
+
+  /** Whether its body has come, so that it can be sent anywhere as it stands. */
+  public boolean whole() {
+    return upload == null;
+  }
+
+  public HttpMethod method() {
+    return method;
+  }
+
+  public String uri() {
+    return uri;
+  }
+
+  /** What goes on to whoever serves it; not to be changed. */
+  public HttpHeaders headers() {
+    return headers;
+  }
+
+  /** A copy of the body that shares its bytes; whoever gets it releases it. */
+  public ByteBuf shareBody() {
+    return body.retainedDuplicate();
   }
 
   /** What brings the body where it still comes, or null. */
--- a/src/main/java/maplehall/http1/UpstreamConnection.java
+++ b/src/main/java/maplehall/http1/UpstreamConnection.java
@@ -33,7 +33,8 @@
  * the protocol's table: whether the request may have run depends on whether its last byte was
  * written, and only an answer that is whole is ever passed on as one.
  */
-final class UpstreamConnection extends ChannelInboundHandlerAdapter implements Attempt.Carrier {
+final class UpstreamConnection extends ChannelInboundHandlerAdapter
+    implements Attempt.Carrier, AnswerSource {
   /**
    * A longer answer is spoilt, or broken off where it does not say how long it is. Upstreams send
    * up to 32 MB.
@@ -108,7 +109,7 @@
   private int readsAtStall;
   private long begunNanos;
   private long passed;
-  private ClientHandler client;
+  private AnswerSink client;
   private boolean paused;
 
   public UpstreamConnection(UpstreamPool pool, Clock clock, Upstream upstream) {
@@ -212,16 +213,16 @@
 
   // ---- an answer that goes on as it comes ----
 
-  /** The client takes no more for now, or takes more again. */
-  void pause(boolean pause) {
+  @Override
+  public void pause(boolean pause) {
     if (phase == Phase.PASS && paused != pause) {
       paused = pause;
       channel.config().setAutoRead(!pause);
     }
   }
 
-  /** The client has gone; nobody wants the rest. */
-  void clientGone() {
+  @Override
+  public void clientGone() {
     if (phase == Phase.PASS || phase == Phase.PASSED) {
       client = null;
       close();
@@ -240,7 +241,7 @@
     noStall();
     phase = Phase.PASS;
     passed = gathered.readableBytes();
-    client = payload.client();
+    client = payload.sink();
     client.pass(head, this);
     if (gathered.isReadable()) {
       client.passPiece(gathered);
@@ -452,7 +453,7 @@
       client.passFlush();
     } else if (phase == Phase.PASSED) {
       reusable &= !decoder.leftovers();
-      ClientHandler to = client;
+      AnswerSink to = client;
       client = null;
       settle();
       to.passEnd();
@@ -582,7 +583,7 @@
       payload.upload().detach(this);
     }
     if (client != null) {
-      ClientHandler cut = client;
+      AnswerSink cut = client;
       client = null;
       cut.passBroken();
     }
--- a/src/main/java/maplehall/grpc/Link.java
+++ b/src/main/java/maplehall/http2/Link.java
@@ -1,6 +1,9 @@
-package maplehall.grpc;
+package maplehall.http2;
+
+import static java.util.concurrent.TimeUnit.MILLISECONDS;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http2.AbstractHttp2ConnectionHandlerBuilder;
@@ -20,6 +23,7 @@
 import io.netty.handler.codec.http2.Http2Settings;
 import io.netty.handler.codec.http2.Http2Stream;
 import io.netty.handler.codec.http2.UniformStreamByteDistributor;
+import java.util.Set;
 import java.util.function.Consumer;
 import maplehall.runtime.Log;
 
@@ -30,13 +34,15 @@
  *
  * <p>A stream's window is given back only for bytes that have been used up, so that a slow reader
  * holds back its sender and nobody else: the connection's own window refills by itself, and what
- * all streams hold together is bounded by {@link Held}.
+ * all streams hold together is for the protocol above to bound.
  */
-abstract class Link extends Http2ConnectionHandler {
+public abstract class Link extends Http2ConnectionHandler {
   /** What the other side may send ahead on a stream. */
-  static final int WINDOW = 256 << 10;
+  public static final int WINDOW = 256 << 10;
+
+  /** Between the two steps of a GOAWAY: calls that cross the first are still taken. */
+  private static final long GOAWAY_MILLIS = 550;
 
-  private static final int MOST_HEADERS = 16 << 10;
   private static final int MOST_EMPTY_FRAMES = 8;
   private static final int MOST_SMALL_CONTINUATIONS = 16;
 
@@ -49,7 +55,7 @@
   private static final int RESET_SECONDS = 10;
 
   /** What a stream is for. All calls come on the loop. */
-  interface Handler {
+  public interface Handler {
     void onHeaders(Http2Headers headers, boolean last);
 
     /**
@@ -68,7 +74,7 @@
   }
 
   /** Makes a connection's handler from the codec's two halves. */
-  interface Maker<T extends Link> {
+  public interface Maker<T extends Link> {
     T of(Http2ConnectionDecoder decoder, Http2ConnectionEncoder encoder, Http2Settings settings);
   }
 
@@ -76,7 +82,8 @@
   private ChannelHandlerContext ctx;
   private boolean flushing;
 
-  Link(Http2ConnectionDecoder decoder, Http2ConnectionEncoder encoder, Http2Settings settings) {
+  protected Link(
+      Http2ConnectionDecoder decoder, Http2ConnectionEncoder encoder, Http2Settings settings) {
     super(decoder, encoder, settings);
     key = connection().newKey();
     decoder.frameListener(new Frames());
@@ -93,23 +100,39 @@
             });
   }
 
-  /** Puts a connection together. */
-  static <T extends Link> T build(boolean server, int mostStreams, Maker<T> maker) {
+  /**
+   * Puts a connection together.
+   *
+   * @param mostStreams that the other side may have open at a time; of no matter for a client
+   * @param mostHeaders bytes of the headers of one message, as RFC 9113 section 6.5.2 counts them
+   * @param changing names of headers that are another in every message: indexed, they would push
+   *     all else out of the table. Compared by identity.
+   */
+  public static <T extends Link> T build(
+      boolean server,
+      int mostStreams,
+      int mostHeaders,
+      Set<? extends CharSequence> changing,
+      Maker<T> maker) {
     Http2Settings settings =
-        Http2Settings.defaultSettings().initialWindowSize(WINDOW).maxHeaderListSize(MOST_HEADERS);
+        Http2Settings.defaultSettings().initialWindowSize(WINDOW).maxHeaderListSize(mostHeaders);
     if (server) {
       settings.maxConcurrentStreams(mostStreams);
     } else {
       settings.pushEnabled(false);
     }
-    return new Builder<>(server, settings, maker).build();
+    return new Builder<>(server, settings, changing, maker).build();
   }
 
   private static final class Builder<T extends Link>
       extends AbstractHttp2ConnectionHandlerBuilder<T, Builder<T>> {
     private final Maker<T> maker;
 
-    Builder(boolean server, Http2Settings settings, Maker<T> maker) {
+    Builder(
+        boolean server,
+        Http2Settings settings,
+        Set<? extends CharSequence> changing,
+        Maker<T> maker) {
       this.maker = maker;
       Http2Connection connection = new DefaultHttp2Connection(server);
       connection
@@ -132,8 +155,15 @@
       int resets = server ? MOST_RESETS : 0;
       decoderEnforceMaxRstFramesPerWindow(resets, RESET_SECONDS);
       encoderEnforceMaxRstFramesPerWindow(resets, RESET_SECONDS);
-      // The time left is another in every call: indexed, it would push all else out of the table.
-      headerSensitivityDetector((name, value) -> name == GrpcHeaders.TIMEOUT);
+      headerSensitivityDetector(
+          (name, value) -> {
+            for (CharSequence each : changing) {
+              if (each == name) {
+                return true;
+              }
+            }
+            return false;
+          });
     }
 
     @Override
@@ -154,17 +184,17 @@
     super.handlerAdded(context);
   }
 
-  final ChannelHandlerContext context() {
+  public final ChannelHandlerContext context() {
     return ctx;
   }
 
   /** Whether another stream may be opened from this side. */
-  final boolean mayOpen() {
+  public final boolean mayOpen() {
     return connection().local().canOpenStream() && !connection().goAwayReceived();
   }
 
   /** Opens a stream with its headers; its id, or -1 where none could be had and nothing is sent. */
-  final int open(Handler handler, Http2Headers headers, boolean last) {
+  public final int open(Handler handler, Http2Headers headers, boolean last) {
     int id = mayOpen() ? connection().local().incrementAndGetNextStreamId() : -1;
     if (id <= 0) {
       return -1;
@@ -179,31 +209,31 @@
     return id;
   }
 
-  final ChannelFuture headers(int id, Http2Headers headers, boolean last) {
+  public final ChannelFuture headers(int id, Http2Headers headers, boolean last) {
     flushSoon();
     return encoder().writeHeaders(ctx, id, headers, 0, last, ctx.newPromise());
   }
 
   /** Takes over the data; done when it has been written to the socket. */
-  final ChannelFuture data(int id, ByteBuf data, boolean last) {
+  public final ChannelFuture data(int id, ByteBuf data, boolean last) {
     flushSoon();
     return encoder().writeData(ctx, id, data, 0, last, ctx.newPromise());
   }
 
-  final void reset(int id, Http2Error error) {
+  public final void reset(int id, Http2Error error) {
     if (connection().stream(id) != null) {
       flushSoon();
       resetStream(ctx, id, error.code(), ctx.newPromise());
     }
   }
 
-  final void ping(long content) {
+  public final void ping(long content) {
     flushSoon();
     encoder().writePing(ctx, false, content, ctx.newPromise());
   }
 
   /** Bytes of a stream's window have been used up. */
-  final void consume(int id, int bytes) {
+  public final void consume(int id, int bytes) {
     Http2Stream stream = connection().stream(id);
     if (stream == null || bytes == 0) {
       return;
@@ -230,11 +260,39 @@
     flush(ctx);
   }
 
-  final void close() {
+  public final void close() {
     ctx.close();
   }
 
-  final void forEachHandler(Consumer<Handler> each) {
+  /** Says that no stream after this one is taken; done when it is written. */
+  public final ChannelFuture goAway(int lastId, Http2Error error) {
+    ChannelFuture writing =
+        goAway(ctx, lastId, error.code(), Unpooled.EMPTY_BUFFER, ctx.newPromise());
+    ctx.flush();
+    return writing;
+  }
+
+  /**
+   * GOAWAY in two steps (RFC 9113, section 6.8): first with the greatest id, so that calls on their
+   * way are still taken, then with that of the last one.
+   *
+   * @param left called after the second step, unless the connection is closed by then
+   */
+  public final void goAwayInOrder(Runnable left) {
+    goAway(Integer.MAX_VALUE, Http2Error.NO_ERROR);
+    ctx.executor()
+        .schedule(
+            () -> {
+              if (ctx.channel().isActive()) {
+                goAway(connection().remote().lastStreamCreated(), Http2Error.NO_ERROR);
+                left.run();
+              }
+            },
+            GOAWAY_MILLIS,
+            MILLISECONDS);
+  }
+
+  public final void forEachHandler(Consumer<Handler> each) {
     try {
       connection()
           .forEachActiveStream(
@@ -263,29 +321,34 @@
   protected void onConnectionError(
       ChannelHandlerContext context, boolean outbound, Throwable cause, Http2Exception known) {
     if (known == null) {
-      Log.error("gRPC connection", "closed", cause);
+      Log.error("HTTP/2 connection", "closed", cause);
     } else {
-      Log.info("gRPC connection", "closed: " + known.getMessage());
+      Log.info("HTTP/2 connection", "closed: " + known.getMessage());
     }
     super.onConnectionError(context, outbound, cause, known);
   }
 
   /** The first headers of a stream that the other side opens; null turns the frame down. */
-  Handler opened(int id) {
+  protected Handler opened(int id) {
     return null;
   }
 
   /** Any frame has come but the answer to a PING. */
-  void heard() {}
+  protected void heard() {}
 
   /** Headers or data have come. */
-  void spoke() {}
+  protected void spoke() {}
 
-  void onSettings(Http2Settings settings) {}
+  protected void onSettings(Http2Settings settings) {}
 
-  void onPing(boolean answer) {}
+  /**
+   * A PING has come, or the answer to one.
+   *
+   * @param content what it carries; an answer brings back what was sent
+   */
+  protected void onPing(boolean answer, long content) {}
 
-  void onGoAway() {}
+  protected void onGoAway() {}
 
   private final class Frames extends Http2FrameAdapter {
     @Override
@@ -344,12 +407,12 @@
     @Override
     public void onPingRead(ChannelHandlerContext context, long data) {
       heard();
-      onPing(false);
+      onPing(false, data);
     }
 
     @Override
     public void onPingAckRead(ChannelHandlerContext context, long data) {
-      onPing(true);
+      onPing(true, data);
     }
 
     @Override
--- a/src/main/java/maplehall/node/Front.java
+++ b/src/main/java/maplehall/node/Front.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.function.BooleanSupplier;
 import maplehall.dispatch.Dispatcher;
+import maplehall.http1.UpstreamPool;
 import maplehall.runtime.Budget;
 import maplehall.runtime.Clock;
 
@@ -11,10 +12,16 @@
   /**
    * What a front shares with the rest of its node.
    *
+   * @param pool the connections to upstreams over HTTP/1.1
    * @param evict frees a descriptor of an idle connection; false if there is none
    */
   record Parts(
-      EventLoop loop, Clock clock, Budget budget, Dispatcher dispatcher, BooleanSupplier evict) {}
+      EventLoop loop,
+      Clock clock,
+      Budget budget,
+      Dispatcher dispatcher,
+      UpstreamPool pool,
+      BooleanSupplier evict) {}
 
   /** Makes a front for a node that is being put together. */
   interface Factory {
--- a/src/main/java/maplehall/node/Node.java
+++ b/src/main/java/maplehall/node/Node.java
@@ -49,11 +49,16 @@
 
   /** Adds a front; before the start. */
   public Front add(Front.Factory factory) {
-    Front front = factory.of(new Front.Parts(loop, clock, budget, dispatcher, this::evict));
+    Front front = factory.of(new Front.Parts(loop, clock, budget, dispatcher, pool, this::evict));
     fronts.add(front);
     return front;
   }
 
+  /** A header that no client over HTTP/1.1 may send; before the start. */
+  public void forbid(String header) {
+    server.forbid(header);
+  }
+
   private boolean evict() {
     return pool.evictIdle() || server.evictIdle();
   }
--- a/src/main/java/maplehall/standalone/StandaloneConfig.java
+++ b/src/main/java/maplehall/standalone/StandaloneConfig.java
@@ -5,6 +5,7 @@
 import maplehall.admin.AdminTable;
 import maplehall.config.Document;
 import maplehall.config.Fault;
+import maplehall.gateway.GatewayTable;
 import maplehall.grpc.GrpcTable;
 import maplehall.members.MembersTable;
 import maplehall.node.NodeSettings;
@@ -15,9 +16,14 @@
  *
  * @param admin null where the listener is off
  * @param grpc null where that listener is off
+ * @param gateway null where no other site is spoken to
  */
 public record StandaloneConfig(
-    NodeSettings node, MembersTable members, AdminTable admin, GrpcTable grpc) {
+    NodeSettings node,
+    MembersTable members,
+    AdminTable admin,
+    GrpcTable grpc,
+    GatewayTable gateway) {
   /** A configuration, or what is wrong with the file; one of the two is empty. */
   public record Result(StandaloneConfig config, List<Fault> faults) {}
 
@@ -33,7 +39,8 @@
             node,
             MembersTable.read(document),
             AdminTable.read(document.root()),
-            GrpcTable.read(document.root(), node == null ? List.of() : node.settings().classes()));
+            GrpcTable.read(document.root(), node == null ? List.of() : node.settings().classes()),
+            GatewayTable.read(document));
     document.root().end();
     List<Fault> faults = document.faults();
     return new Result(faults.isEmpty() ? config : null, faults);
--- a/src/main/java/maplehall/standalone/StandaloneNode.java
+++ b/src/main/java/maplehall/standalone/StandaloneNode.java
@@ -10,6 +10,7 @@
 import java.util.stream.Collectors;
 import maplehall.admin.AdminServer;
 import maplehall.config.Fault;
+import maplehall.gateway.SiteGateway;
 import maplehall.grpc.GrpcServer;
 import maplehall.members.MembersPages;
 import maplehall.members.MembersWatcher;
@@ -28,9 +29,11 @@
   private final Node node;
   private AdminServer admin;
   private GrpcServer grpc;
+  private SiteGateway gateway;
 
-  /** Reads the members; fails where there is no list to serve with. */
-  public StandaloneNode(Path path, StandaloneConfig config) throws MembersWatcher.CannotStart {
+  /** Reads the members; fails where there is no list to serve with, or no certificate. */
+  public StandaloneNode(Path path, StandaloneConfig config)
+      throws MembersWatcher.CannotStart, SiteGateway.CannotStart {
     this.path = path;
     this.config = config;
     members = MembersWatcher.open(config.members());
@@ -44,6 +47,16 @@
                   parts ->
                       new GrpcServer(parts, config.grpc(), settings.settings(), settings.seed()));
     }
+    if (config.gateway() != null) {
+      NodeSettings settings = config.node();
+      gateway =
+          new SiteGateway(
+              node, config.gateway(), settings.settings().classes(), settings.seed() + 1);
+      node.forbid(SiteGateway.TRAIL);
+      if (grpc != null) {
+        grpc.forbid(SiteGateway.TRAIL);
+      }
+    }
   }
 
   /** Returns once clients can connect; fails if an address is taken. */
@@ -53,6 +66,9 @@
       MembersPages.add(admin, members);
       admin.get("status", (rest, reply) -> reply.accept(AdminServer.Reply.ok(status())));
       admin.get("servers", (rest, reply) -> reply.accept(AdminServer.Reply.ok(servers())));
+      if (gateway != null) {
+        gateway.addPages(admin);
+      }
       admin.start(config.admin().listen());
     }
     node.start();
@@ -72,6 +88,11 @@
     return grpc;
   }
 
+  /** The gateway to other sites, or null where it is off. */
+  public SiteGateway gateway() {
+    return gateway;
+  }
+
   public MembersWatcher members() {
     return members;
   }
@@ -129,6 +150,9 @@
   /** Ends at once, without a drain. */
   public void stop() {
     members.close();
+    if (gateway != null) {
+      gateway.close();
+    }
     node.stop();
   }
 }
--- a/src/main/java/meadowtrack/core/DelayWindow.java
+++ b/src/main/java/meadowtrack/core/DelayWindow.java
@@ -6,7 +6,7 @@
  * The window of one balancer over one server (Equation 2 of the paper), on delays that are given as
  * multiples of what the request's class takes at present. Nothing else is decided here.
  */
-final class DelayWindow {
+public final class DelayWindow {
   /** Delays in the running mean (the paper's k). */
   static final int RECENT = 8;
 
@@ -51,11 +51,11 @@
   private long cutAtNanos = Long.MIN_VALUE;
 
   /** Whole calls that may be in flight. */
-  int size() {
+  public int size() {
     return (int) window;
   }
 
-  double window() {
+  public double window() {
     return window;
   }
 
@@ -91,7 +91,7 @@
    *
    * @param inFlight calls in flight when it completed, itself included
    */
-  boolean onCompletion(long nowNanos, long sentNanos, double delay, int inFlight) {
+  public boolean onCompletion(long nowNanos, long sentNanos, double delay, int inFlight) {
     if (cutSince(sentNanos)) {
       // One cut a flight, but what comes back in good time still counts for slow start. A server
       // that had turned one call away got nothing until its whole flight was home, with room for
@@ -118,12 +118,12 @@
   }
 
   /** Whether the window has been cut since a call was sent. */
-  boolean cutSince(long sentNanos) {
+  public boolean cutSince(long sentNanos) {
     return sentNanos < cutAtNanos;
   }
 
   /** The threshold becomes half the window and the window one; the interval is void. */
-  void cut(long nowNanos) {
+  public void cut(long nowNanos) {
     threshold = Math.max(1, window / 2);
     window = 1;
     cutAtNanos = nowNanos;
--- /dev/null
+++ b/src/main/java/meadowtrack/gateway/Lending.java
@@ -0,0 +1,61 @@
+package meadowtrack.gateway;
+
+import meadowtrack.core.DelayWindow;
+
+/**
+ * What a site takes of others: as many calls at a time as a delay window allows that is cut when
+ * the site turns anybody away, and none while it is strained or has just refused a call of its own.
+ */
+final class Lending {
+  /** After a call of its own was refused, nothing is taken for so long. */
+  static final long HOLD_NANOS = 250_000_000L;
+
+  private final DelayWindow window = new DelayWindow();
+  private final Strain strain;
+  private int lent;
+  private long refusedNanos = Long.MIN_VALUE / 2;
+
+  Lending(Strain strain) {
+    this.strain = strain;
+  }
+
+  int room(long nowNanos) {
+    boolean closed = nowNanos - refusedNanos < HOLD_NANOS || strain.strained(nowNanos);
+    return closed ? 0 : Math.max(0, window.size() - lent);
+  }
+
+  boolean take(long nowNanos) {
+    boolean room = room(nowNanos) > 0;
+    lent += room ? 1 : 0;
+    return room;
+  }
+
+  /**
+   * A call that was taken is over.
+   *
+   * @param ratio of its delay to what its class takes here; 0 where it was not served
+   */
+  void ended(long nowNanos, long takenNanos, double ratio) {
+    if (ratio > 0) {
+      window.onCompletion(nowNanos, takenNanos, ratio, lent);
+    }
+    lent--;
+  }
+
+  void refused(long nowNanos, boolean own) {
+    if (own) {
+      refusedNanos = nowNanos;
+    }
+    if (!window.cutSince(nowNanos - HOLD_NANOS)) {
+      window.cut(nowNanos);
+    }
+  }
+
+  int lent() {
+    return lent;
+  }
+
+  int size() {
+    return window.size();
+  }
+}
--- a/src/test/java/architecture/BordersTest.java
+++ b/src/test/java/architecture/BordersTest.java
@@ -36,6 +36,7 @@
             "meadowtrack.core..",
             "meadowtrack.api..",
             "meadowtrack.members..",
+            "meadowtrack.gateway..",
             "meadowtrack.grpc..")
         .should()
         .onlyDependOnClassesThat(
@@ -43,6 +44,7 @@
                     "meadowtrack.core..",
                     "meadowtrack.api..",
                     "meadowtrack.members..",
+                    "meadowtrack.gateway..",
                     "meadowtrack.grpc..")
                 .or(resideInAnyPackage("java.lang", "java.util", "java.util.function"))
                 .or(resideInAnyPackage("java.lang.invoke", "java.lang.runtime"))
@@ -59,6 +61,7 @@
             "meadowtrack.core..",
             "meadowtrack.api..",
             "meadowtrack.members..",
+            "meadowtrack.gateway..",
             "meadowtrack.grpc..")
         .should()
         .callMethod(System.class, "nanoTime")
@@ -107,6 +110,7 @@
             "maplehall.files..",
             "maplehall.admin..",
             "maplehall.grpc..",
+            "maplehall.gateway..",
             "maplehall.cli..")
         .check(all);
   }
@@ -161,6 +165,24 @@
         .check(all);
   }
 
+  /** What a gateway decides is for a gateway alone: a balancer without one loads none of it. */
+  @Test
+  void onlyTheGatewayKnowsOtherSites() {
+    noClasses()
+        .that(
+            not(
+                resideInAnyPackage(
+                    "maplehall.gateway..",
+                    "maplehall.standalone..",
+                    "maplehall.cli..",
+                    "meadowtrack.gateway..",
+                    "loadrig..")))
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage("maplehall.gateway..", "meadowtrack.gateway..", "javax.net.ssl..")
+        .check(all);
+  }
+
   @Test
   void theBalancerLoadsNothingOfTheRig() {
     noClasses()
--- /dev/null
+++ b/src/test/java/maplehall/gateway/GatewayTableTest.java
@@ -0,0 +1,125 @@
+package maplehall.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import loadrig.site.Authority;
+import maplehall.config.Document;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The table [gateway] and the files that it names. */
+class GatewayTableTest {
+  private static final String PLAIN =
+      """
+      [gateway]
+      site = "hat-yai"
+      listen = "127.0.0.1:0"
+      insecure = true
+      [[gateway.peer]]
+      site = "bangkok"
+      gateways = ["127.0.0.1:9441", "127.0.0.1:9442"]
+      """;
+
+  @TempDir Path folder;
+
+  private Document read(String text) throws Exception {
+    return Document.read(Files.writeString(folder.resolve("c.toml"), text));
+  }
+
+  private List<String> faults(String from, String to) throws Exception {
+    assertTrue(PLAIN.contains(from), from);
+    Document document = read(PLAIN.replace(from, to));
+    GatewayTable.read(document);
+    document.root().end();
+    return document.faults().stream()
+        .map(fault -> fault.toString().replaceAll("^.*c.toml:", ""))
+        .toList();
+  }
+
+  @Test
+  void theShortestOneIsRead() throws Exception {
+    Document document = read(PLAIN);
+    GatewayTable table = GatewayTable.read(document);
+    assertEquals(List.of(), document.faults());
+    assertEquals("hat-yai", table.site());
+    assertNull(table.keys());
+    assertEquals(1_000_000_000L, table.silenceNanos());
+    assertEquals(2, table.sites().get(0).gateways().size());
+    assertNull(GatewayTable.read(read("")));
+  }
+
+  @Test
+  void faultsAreNamedWithTheirPlace() throws Exception {
+    assertEquals(
+        List.of(
+            "2:1: gateway.site: is \"Hat Yai\"; 1 to 32 of the characters a-z, 0-9 and - expected"),
+        faults("hat-yai", "Hat Yai"));
+    assertEquals(
+        List.of("6:1: gateway.peer[0].site: is this site itself; another site expected"),
+        faults("bangkok", "hat-yai"));
+    assertEquals(
+        List.of(
+            "7:1: gateway.peer[0].gateways: has 127.0.0.1:9441 a second time;"
+                + " each address once expected"),
+        faults("9442", "9441"));
+    assertEquals(
+        List.of(
+            "4:1: gateway.insecure: is for tests on loopback addresses alone;"
+                + " certificates expected"),
+        faults("127.0.0.1:9442", "10.1.2.3:9442"));
+    assertEquals(
+        List.of(
+            "1:1: gateway: certificate, key and authority expected,"
+                + " or insecure = true for a test on loopback"),
+        faults("insecure = true", ""));
+    assertEquals(
+        List.of(
+            "4:1: gateway.insecure: and certificates exclude each other;"
+                + " one of the two expected"),
+        faults("insecure = true", "insecure = true\nkey = \"k\""));
+    assertEquals(
+        1,
+        faults("insecure", "insecur").stream()
+            .filter(f -> f.contains("insecur") && f.contains("did you mean"))
+            .count());
+  }
+
+  private String unusable(String certificate, String key, String authority, String site) {
+    GatewayTable.Keys keys =
+        new GatewayTable.Keys(
+            folder.resolve(certificate), folder.resolve(key), folder.resolve(authority));
+    try {
+      Identity.read(keys, site);
+      return null;
+    } catch (Identity.Unusable e) {
+      return e.getMessage().replace(folder + "/", "");
+    }
+  }
+
+  @Test
+  void filesThatCannotBeUsedAreNamed() throws Exception {
+    Authority authority = new Authority(folder, "ca");
+    authority.sign("a", "hat-yai");
+    authority.sign("b", "bangkok");
+    authority.signExpired("old", "hat-yai");
+    Files.writeString(folder.resolve("none.pem"), "nothing\n");
+    assertNull(unusable("a.pem", "a.key", "ca.pem", "hat-yai"));
+    assertEquals(
+        "a.pem: names [hat-yai] and not the site \"udon\"",
+        unusable("a.pem", "a.key", "ca.pem", "udon"));
+    assertEquals(
+        "b.key: is not the key of the certificate",
+        unusable("a.pem", "b.key", "ca.pem", "hat-yai"));
+    assertTrue(
+        unusable("old.pem", "old.key", "ca.pem", "hat-yai")
+            .startsWith("old.pem: is not valid now"));
+    assertTrue(unusable("none.pem", "a.key", "ca.pem", "hat-yai").startsWith("none.pem: "));
+    assertTrue(unusable("a.pem", "none.pem", "ca.pem", "hat-yai").startsWith("none.pem: "));
+    assertTrue(unusable("a.pem", "a.key", "gone.pem", "hat-yai").startsWith("gone.pem: "));
+  }
+}
--- /dev/null
+++ b/src/test/java/maplehall/gateway/SitesFixture.java
@@ -0,0 +1,252 @@
+package maplehall.gateway;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import loadrig.balancer.BalancerProcess;
+import loadrig.balancer.Workplace;
+import loadrig.client.Kind;
+import loadrig.client.Ledger;
+import loadrig.client.OpenLoop;
+import loadrig.server.ServiceTime;
+import loadrig.server.Shape;
+import loadrig.server.StandIn;
+import loadrig.site.Authority;
+import loadrig.site.DelayLine;
+import maplehall.members.MembersFormat;
+import maplehall.standalone.StandaloneConfig;
+import maplehall.standalone.StandaloneNode;
+import testing.Await;
+
+/** Several sites in this process, each with stand-in servers, a gateway, and ways to the others. */
+final class SitesFixture implements AutoCloseable {
+  private static final InetSocketAddress ANY = new InetSocketAddress("127.0.0.1", 0);
+
+  final NioEventLoopGroup group = new NioEventLoopGroup(3);
+  final Map<String, Site> sites = new LinkedHashMap<>();
+  final Ledger ledger = new Ledger();
+  private final Path folder = Files.createTempDirectory("heathswitch-sites-");
+  private Authority authority;
+  private long seed = 1;
+
+  /**
+   * One gateway of one site. A second one of a site has a name of its own here, and its servers.
+   */
+  final class Site implements AutoCloseable {
+    final String name;
+    final String key;
+    final InetSocketAddress listen;
+    final List<StandIn> servers = new ArrayList<>();
+    final Map<String, DelayLine> ways = new LinkedHashMap<>();
+    final Workplace workplace;
+    String certificate;
+    private final List<String> lines = new ArrayList<>();
+    StandaloneNode node;
+
+    Site(String key, String name, int servers, Shape shape) throws Exception {
+      this.key = key;
+      this.name = name;
+      certificate = key;
+      listen = BalancerProcess.freeAddress();
+      workplace = new Workplace("site");
+      for (int i = 0; i < servers; i++) {
+        StandIn server =
+            new StandIn(group.next(), key + "-" + i, shape, seed++, null).onRun(ledger::ran);
+        this.servers.add(server.start(ANY));
+      }
+    }
+
+    /** A server in words of the list's own. */
+    void line(String words) {
+      lines.add(words);
+    }
+
+    long received() {
+      return servers.stream().mapToLong(StandIn::received).sum();
+    }
+
+    /** A page of the gateway, read on its loop. */
+    Map<String, Object> status() {
+      try {
+        return node.node().loop().submit(() -> node.gateway().status()).get();
+      } catch (Exception e) {
+        throw new AssertionError(e);
+      }
+    }
+
+    @SuppressWarnings("unchecked")
+    List<Map<String, Object>> links() {
+      return (List<Map<String, Object>>) status().get("links");
+    }
+
+    @SuppressWarnings("unchecked")
+    Map<String, Object> from(String site) {
+      return ((Map<String, Map<String, Object>>) status().get("from")).get(site);
+    }
+
+    /** A figure summed over the links to a site. */
+    long sum(String site, String figure) {
+      return links().stream()
+          .filter(link -> String.valueOf(link.get("link")).startsWith(site + ' '))
+          .mapToLong(link -> ((Number) link.get(figure)).longValue())
+          .sum();
+    }
+
+    void awaitLinks(Predicate<Map<String, Object>> each) throws InterruptedException {
+      Await.until("links of " + key, () -> links().stream().allMatch(each));
+    }
+
+    int live() throws Exception {
+      return node.node().loop().submit(() -> node.node().dispatcher().live()).get();
+    }
+
+    OpenLoop load(double perSecond, long deadlineMillis, Kind... kinds) {
+      return new OpenLoop(
+              group.next(),
+              node.node().address(),
+              List.of(kinds),
+              perSecond,
+              deadlineMillis,
+              200,
+              seed++,
+              ledger)
+          .start();
+    }
+
+    void drain(String link, boolean out) {
+      try {
+        node.node()
+            .loop()
+            .submit(() -> node.gateway().change((out ? "drain/" : "resume/") + link))
+            .get(10, TimeUnit.SECONDS);
+      } catch (Exception e) {
+        throw new AssertionError(e);
+      }
+    }
+
+    void start(boolean tls) throws Exception {
+      servers.forEach(
+          each -> lines.add(MembersFormat.line(Workplace.listed(each, "a", "front", 1))));
+      String members = String.join("\n", lines) + "\nend " + lines.size() + '\n';
+      Files.writeString(workplace.members(), members);
+      Path file = workplace.configure(ANY, ANY, 512, "");
+      StringBuilder table = new StringBuilder("[[class]]\nname = \"keyed\"\neffect = \"keyed\"\n");
+      table.append("window = \"5s\"\naim = \"2500ms\"\ndeadline = \"6s\"\n");
+      table.append("[gateway]\nsite = \"").append(name).append("\"\nlisten = \"127.0.0.1:");
+      table.append(listen.getPort()).append("\"\n");
+      if (tls) {
+        authority().sign(key, name);
+        table.append("certificate = \"").append(folder.resolve(certificate + ".pem"));
+        table.append("\"\nkey = \"").append(folder.resolve(certificate + ".key"));
+        table.append("\"\nauthority = \"").append(authority().certificate()).append("\"\n");
+      } else {
+        table.append("insecure = true\n");
+      }
+      Map<String, List<String>> others = new LinkedHashMap<>();
+      for (Site other : sites.values()) {
+        if (!other.name.equals(name)) {
+          DelayLine way = new DelayLine(group.next(), other.listen, 5.6, 10, seed++).start();
+          ways.put(other.key, way);
+          others
+              .computeIfAbsent(other.name, any -> new ArrayList<>())
+              .add("\"127.0.0.1:" + way.address().getPort() + '"');
+        }
+      }
+      others.forEach(
+          (site, addresses) ->
+              table
+                  .append("[[gateway.peer]]\nsite = \"")
+                  .append(site)
+                  .append("\"\ngateways = ")
+                  .append(addresses)
+                  .append('\n'));
+      Files.writeString(file, table, StandardOpenOption.APPEND);
+      StandaloneConfig.Result result = StandaloneConfig.read(file);
+      if (result.config() == null) {
+        throw new AssertionError(result.faults());
+      }
+      node = new StandaloneNode(file, result.config());
+      node.start();
+    }
+
+    @Override
+    public void close() throws Exception {
+      if (node != null) {
+        node.stop();
+      }
+      ways.values().forEach(DelayLine::close);
+      servers.forEach(StandIn::close);
+      workplace.close();
+    }
+  }
+
+  SitesFixture() throws Exception {}
+
+  /** A site with servers that work on so many calls at a time, each for so long, and queue none. */
+  SitesFixture site(String name, int servers, int cores, double millis) throws Exception {
+    return gateway(name, name, servers, cores, millis);
+  }
+
+  SitesFixture gateway(String key, String name, int servers, int cores, double millis)
+      throws Exception {
+    Shape shape = Shape.warm(cores, 0, ServiceTime.fixed(millis));
+    sites.put(key, new Site(key, name, servers, shape));
+    return this;
+  }
+
+  Path folder() {
+    return folder;
+  }
+
+  Authority authority() throws Exception {
+    if (authority == null) {
+      authority = new Authority(folder, "ca");
+    }
+    return authority;
+  }
+
+  Site site(String key) {
+    return sites.get(key);
+  }
+
+  SitesFixture start(boolean tls) throws Exception {
+    for (Site site : sites.values()) {
+      site.start(tls);
+    }
+    return this;
+  }
+
+  /** Starts all and waits until every link can take calls. */
+  SitesFixture linked(boolean tls) throws Exception {
+    start(tls);
+    for (Site site : sites.values()) {
+      site.awaitLinks(
+          link ->
+              link.get("state").equals("up")
+                  && ((Number) link.get("there_and_back_ms")).doubleValue() > 0);
+    }
+    return this;
+  }
+
+  @Override
+  public void close() throws Exception {
+    for (Site site : sites.values()) {
+      site.close();
+    }
+    group.shutdownGracefully(0, 2, TimeUnit.SECONDS);
+    try (var files = Files.list(folder)) {
+      for (Path path : files.toList()) {
+        Files.delete(path);
+      }
+    }
+    Files.delete(folder);
+  }
+}
--- /dev/null
+++ b/src/test/java/maplehall/gateway/TrustTest.java
@@ -0,0 +1,154 @@
+package maplehall.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.handler.ssl.JdkSslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import io.netty.handler.ssl.SslProvider;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import javax.net.ssl.SSLContext;
+import javax.net.ssl.SSLServerSocket;
+import javax.net.ssl.SSLSocket;
+import loadrig.client.Kind;
+import loadrig.client.OpenLoop;
+import loadrig.client.Tally;
+import loadrig.site.Authority;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import testing.Await;
+
+/** Who is let in, and what becomes of links when certificates are replaced. */
+@Timeout(120)
+class TrustTest {
+  private static SSLContext client(Path folder, String file, Path authority) throws Exception {
+    return ((JdkSslContext)
+            SslContextBuilder.forClient()
+                .sslProvider(SslProvider.JDK)
+                .keyManager(
+                    folder.resolve(file + ".pem").toFile(), folder.resolve(file + ".key").toFile())
+                .trustManager(authority.toFile())
+                .build())
+        .context();
+  }
+
+  /** Whether a gateway speaks HTTP/2 with whoever shows this: it begins with its SETTINGS. */
+  private static boolean letIn(SitesFixture.Site site, SSLContext as, String... protocols)
+      throws IOException {
+    try (SSLSocket socket =
+        (SSLSocket)
+            as.getSocketFactory()
+                .createSocket(InetAddress.getLoopbackAddress(), site.listen.getPort())) {
+      socket.setSoTimeout(20_000);
+      if (protocols.length > 0) {
+        socket.setEnabledProtocols(protocols);
+      }
+      return socket.getInputStream().read() >= 0;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  @Test
+  void onlyAPeerOfTheAuthorityIsLetIn() throws Exception {
+    try (SitesFixture sites =
+        new SitesFixture().site("hat-yai", 1, 1, 10).site("bangkok", 1, 1, 10).linked(true)) {
+      SitesFixture.Site home = sites.site("hat-yai");
+      Path folder = sites.folder();
+      Authority authority = sites.authority();
+      Authority other = new Authority(folder, "other");
+      authority.sign("good", "bangkok");
+      authority.sign("stranger", "udon");
+      authority.signExpired("expired", "bangkok");
+      other.sign("foreign", "bangkok");
+      assertTrue(letIn(home, client(folder, "good", authority.certificate())));
+      assertFalse(letIn(home, client(folder, "stranger", authority.certificate())), "no peer");
+      assertFalse(letIn(home, client(folder, "expired", authority.certificate())), "expired");
+      assertFalse(letIn(home, client(folder, "foreign", authority.certificate())), "foreign");
+      assertFalse(
+          letIn(home, client(folder, "good", authority.certificate()), "TLSv1.2"), "TLS 1.2");
+      SSLContext nobody =
+          ((JdkSslContext)
+                  SslContextBuilder.forClient()
+                      .sslProvider(SslProvider.JDK)
+                      .trustManager(authority.certificate().toFile())
+                      .build())
+              .context();
+      assertFalse(letIn(home, nobody), "no certificate");
+    }
+  }
+
+  /** Somebody of the same authority listens where a peer is expected, and is of another site. */
+  @Test
+  void aPeerOfAnotherSiteIsNotSpokenTo() throws Exception {
+    try (SitesFixture sites =
+        new SitesFixture().site("hat-yai", 1, 1, 10).site("bangkok", 1, 1, 10)) {
+      Path folder = sites.folder();
+      Authority authority = sites.authority();
+      authority.sign("udon", "udon");
+      SSLContext udon =
+          ((JdkSslContext)
+                  SslContextBuilder.forServer(
+                          folder.resolve("udon.pem").toFile(), folder.resolve("udon.key").toFile())
+                      .sslProvider(SslProvider.JDK)
+                      .trustManager(authority.certificate().toFile())
+                      .build())
+              .context();
+      SitesFixture.Site home = sites.site("hat-yai");
+      int port = sites.site("bangkok").listen.getPort();
+      try (SSLServerSocket listener =
+          (SSLServerSocket)
+              udon.getServerSocketFactory()
+                  .createServerSocket(port, 50, InetAddress.getLoopbackAddress())) {
+        Thread thread =
+            new Thread(
+                () -> {
+                  while (!listener.isClosed()) {
+                    try (SSLSocket socket = (SSLSocket) listener.accept()) {
+                      socket.getInputStream().read();
+                    } catch (IOException e) {
+                      // The next one.
+                    }
+                  }
+                });
+        thread.setDaemon(true);
+        thread.start();
+        home.start(true);
+        Await.until(
+            "tried several times",
+            () -> ((Number) home.links().get(0).get("breaks")).intValue() >= 3);
+        assertNotEquals("up", home.links().get(0).get("state"));
+      }
+    }
+  }
+
+  @Test
+  void aCertificateIsReplacedWhileCallsGoOn() throws Exception {
+    try (SitesFixture sites =
+        new SitesFixture().site("hat-yai", 1, 1, 200).site("bangkok", 4, 8, 20).linked(true)) {
+      SitesFixture.Site home = sites.site("hat-yai");
+      OpenLoop load = home.load(50, 3000, Kind.safe("view", "school", 1));
+      Await.until("calls go across", () -> home.sum("bangkok", "served") > 5);
+      Object before = home.status().get("certificate_until");
+      Path pem = sites.folder().resolve("hat-yai.pem");
+      String good = Files.readString(pem);
+      Files.writeString(pem, good.substring(0, good.length() / 2));
+      Thread.sleep(1500); // For several looks: what must not happen has no event.
+      assertEquals(before, home.status().get("certificate_until"));
+      sites.authority().sign("hat-yai", "hat-yai", 2);
+      Await.until("taken", () -> !before.equals(home.status().get("certificate_until")));
+      long served = home.sum("bangkok", "served");
+      Await.until("calls go on", () -> home.sum("bangkok", "served") > served + 10);
+      assertEquals("up", home.links().get(0).get("state"));
+      load.stop();
+      assertEquals(0, load.tally().count(Tally.Result.LOST));
+      assertEquals(0, load.tally().count(Tally.Result.FAILED));
+      assertEquals(0, home.sum("bangkok", "failed"));
+    }
+  }
+}
--- a/src/test/java/maplehall/grpc/HardCasesTest.java
+++ b/src/test/java/maplehall/grpc/HardCasesTest.java
@@ -2,10 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.grpc.CallOptions;
 import io.grpc.ClientCall;
+import io.grpc.ClientInterceptors;
 import io.grpc.ManagedChannel;
 import io.grpc.Metadata;
 import io.grpc.MethodDescriptor;
@@ -14,6 +16,7 @@
 import io.grpc.stub.ClientCallStreamObserver;
 import io.grpc.stub.ClientCalls;
 import io.grpc.stub.ClientResponseObserver;
+import io.grpc.stub.MetadataUtils;
 import io.grpc.stub.StreamObserver;
 import io.netty.handler.codec.http2.Http2Error;
 import java.net.Socket;
@@ -434,6 +437,28 @@
     }
   }
 
+  /** With a gateway, what gateways say to each other is not for clients. */
+  @Test
+  void aForbiddenHeaderIsTurnedAway() throws Exception {
+    try (Echo echo = new Echo();
+        GrpcFixture fixture = new GrpcFixture().server(echo.port()).start()) {
+      fixture.node().grpc().forbid("x-site-trail");
+      Metadata headers = new Metadata();
+      headers.put(Metadata.Key.of("x-site-trail", Metadata.ASCII_STRING_MARSHALLER), "1;a");
+      var channel =
+          ClientInterceptors.intercept(
+              fixture.channel(), MetadataUtils.newAttachHeadersInterceptor(headers));
+      StatusRuntimeException error =
+          assertThrows(
+              StatusRuntimeException.class,
+              () ->
+                  ClientCalls.blockingUnaryCall(
+                      channel, Echo.UNARY, CallOptions.DEFAULT, new byte[1]));
+      assertEquals(Status.Code.INVALID_ARGUMENT, error.getStatus().getCode());
+      assertEquals(0, echo.calls.get());
+    }
+  }
+
   @Test
   void healthIsAnswered() throws Exception {
     try (GrpcFixture fixture = new GrpcFixture().server(1).start()) {
--- /dev/null
+++ b/src/test/java/meadowtrack/gateway/TrailTest.java
@@ -0,0 +1,79 @@
+package meadowtrack.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import meadowtrack.gateway.Gateway.Entry;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The header that keeps a call from being sent on. */
+class TrailTest {
+  private final Gateway gateway = new Gateway("bangkok", GatewayTest.CLASSES, 1);
+
+  @Test
+  void whatOneGatewayWritesAnotherReads() {
+    assertEquals(List.of("hat-yai"), Trail.parse(Trail.from("hat-yai")).sites());
+  }
+
+  /** A later version adds fields and keeps those before them. */
+  @Test
+  void aLaterVersionIsRead() {
+    assertEquals(List.of("a", "b"), Trail.parse("2;a,b;hops=2;x").sites());
+    assertEquals(Entry.GOOD, gateway.entry("hat-yai", "17;hat-yai;anything"));
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        ";",
+        "1",
+        "1;",
+        "hat-yai",
+        "0;hat-yai",
+        "01;hat-yai",
+        "100;hat-yai",
+        "-1;hat-yai",
+        "1;hat-yai,",
+        "1;,hat-yai",
+        "1;Hat-Yai",
+        "1;hat yai",
+        "1;hat_yai",
+        "1; hat-yai",
+        "x;a",
+        "1;a,b,c,d,e,f,g,h,i",
+        "1;abcdefghijklmnopqrstuvwxyz0123456",
+        "1;hat-yai;\u00e9"
+      })
+  void whatIsGarbledIsNoTrail(String text) {
+    assertNull(Trail.parse(text));
+    assertEquals(Entry.GARBLED, gateway.entry("hat-yai", text));
+  }
+
+  @Test
+  void whatIsTooLongIsNoTrail() {
+    String later =
+        IntStream.range(0, Trail.MOST_LENGTH).mapToObj(i -> "x").collect(Collectors.joining());
+    assertNull(Trail.parse("2;hat-yai;" + later));
+    assertNull(Trail.parse(null));
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "hat-yai, 1;hat-yai, GOOD",
+    "hat-yai, 1;udon, FORGED",
+    "hat-yai, '1;hat-yai,udon', FORGED",
+    "hat-yai, '1;udon,hat-yai', BOUNCED",
+    "hat-yai, '1;bangkok,hat-yai', BOUNCED",
+    "bangkok, 1;bangkok, BOUNCED"
+  })
+  void aTrailIsJudgedByWhoBringsIt(String peer, String text, Entry expected) {
+    assertEquals(expected, gateway.entry(peer, text));
+  }
+}
