Measure the gateway over four sites, and lend nothing where a site is near full

Change: a second in place of 250 ms, and a mean over 500 calls beside the short one, as a site near full looks at ease in each lull. measure gateway: four sites, two gateways each in processes of their own, TLS on every link, an oracle that sees each site's true room, calls compared by id.

--- a/src/main/java/loadrig/Main.java
+++ b/src/main/java/loadrig/Main.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import loadrig.demo.Demo;
 import loadrig.explore.AttemptsMeasurement;
+import loadrig.measure.GatewayMeasurement;
 import loadrig.measure.GrpcMeasurement;
 import loadrig.measure.Measurement;
 import loadrig.measure.MembersMeasurement;
@@ -16,6 +17,8 @@
           new MembersMeasurement(),
           "grpc",
           new GrpcMeasurement(),
+          "gateway",
+          new GatewayMeasurement(),
           "attempts",
           new AttemptsMeasurement());
 
--- a/src/main/java/loadrig/balancer/BalancerProcess.java
+++ b/src/main/java/loadrig/balancer/BalancerProcess.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import maplehall.admin.AdminServer;
 
 /** A balancer in a process of its own, started from a configuration file and asked over HTTP. */
 public final class BalancerProcess implements AutoCloseable {
@@ -77,11 +78,29 @@
 
   /** A page of the admin listener. */
   public Map<String, Object> get(String page) throws IOException {
+    return read(connection(page));
+  }
+
+  /** Has the admin listener change something. */
+  public Map<String, Object> post(String page) throws IOException {
+    HttpURLConnection connection = connection(page);
+    connection.setRequestMethod("POST");
+    connection.setRequestProperty(AdminServer.INTENT, "rig");
+    connection.setDoOutput(true);
+    connection.getOutputStream().close();
+    return read(connection);
+  }
+
+  private HttpURLConnection connection(String page) throws IOException {
     String host = admin.getAddress().getHostAddress();
     URL url = new URL("http", host, admin.getPort(), "/" + page);
     HttpURLConnection connection = (HttpURLConnection) url.openConnection();
     connection.setConnectTimeout(ASK_MILLIS);
     connection.setReadTimeout(ASK_MILLIS);
+    return connection;
+  }
+
+  private static Map<String, Object> read(HttpURLConnection connection) throws IOException {
     try (InputStream in = connection.getInputStream()) {
       return JSON.std.mapFrom(in); // Read to its end, so that the connection is kept.
     }
--- /dev/null
+++ b/src/main/java/loadrig/measure/SiteRig.java
@@ -0,0 +1,185 @@
+package loadrig.measure;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import loadrig.balancer.BalancerProcess;
+import loadrig.balancer.Workplace;
+import loadrig.client.Kind;
+import loadrig.client.Ledger;
+import loadrig.client.OpenLoop;
+import loadrig.client.Tally;
+import loadrig.server.Shape;
+import loadrig.server.StandIn;
+import loadrig.site.Authority;
+import loadrig.site.DelayLine;
+
+/** One site: stand-in servers, two gateways in processes of their own, and ways to other sites. */
+final class SiteRig implements AutoCloseable {
+  static final int GATEWAYS = 2;
+  private static final InetSocketAddress ANY = new InetSocketAddress("127.0.0.1", 0);
+  private static final List<String> FLAGS =
+      List.of("-XX:+UseSerialGC", "-Xmx128m", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData");
+  private static final List<Kind> KINDS =
+      List.of(Kind.safe("view", "school", 0.8), Kind.unsafe("publish", "school", 0.2));
+
+  final String name;
+  final List<StandIn> servers = new ArrayList<>();
+  final List<InetSocketAddress> gateways = new ArrayList<>();
+  final List<BalancerProcess> balancers = new ArrayList<>();
+
+  /** Of each gateway here, its ways to the gateways of other sites. */
+  final List<Map<String, List<DelayLine>>> ways = new ArrayList<>();
+
+  private final List<Workplace> workplaces = new ArrayList<>();
+
+  SiteRig(String name, NioEventLoopGroup group, int count, Shape shape, Ledger ledger, long seed)
+      throws Exception {
+    this.name = name;
+    for (int i = 0; i < count; i++) {
+      StandIn server = new StandIn(group.next(), name + '-' + i, shape, seed + i, null);
+      servers.add(server.onRun(ledger::ran).start(ANY));
+    }
+    for (int i = 0; i < GATEWAYS; i++) {
+      gateways.add(BalancerProcess.freeAddress());
+    }
+  }
+
+  /**
+   * Writes the configurations of all gateways here and starts them; returns when they run. The
+   * authority has signed for the site.
+   */
+  void start(List<SiteRig> all, NioEventLoopGroup group, Authority authority, Path folder)
+      throws Exception {
+    for (int i = 0; i < GATEWAYS; i++) {
+      Map<String, List<DelayLine>> of = new LinkedHashMap<>();
+      ways.add(of);
+      StringBuilder table = new StringBuilder();
+      table.append("[gateway]\nsite = \"").append(name).append("\"\nlisten = ");
+      table.append(quoted(gateways.get(i)));
+      table.append("\ncertificate = \"").append(folder.resolve(name + ".pem"));
+      table.append("\"\nkey = \"").append(folder.resolve(name + ".key"));
+      table.append("\"\nauthority = \"").append(authority.certificate()).append("\"\n");
+      for (SiteRig other : all) {
+        if (other != this) {
+          List<DelayLine> lines = new ArrayList<>();
+          List<String> addresses = new ArrayList<>();
+          for (InetSocketAddress gateway : other.gateways) {
+            lines.add(new DelayLine(group.next(), gateway, 5.6, 10, lines.size()).start());
+            addresses.add(quoted(lines.get(lines.size() - 1).address()));
+          }
+          of.put(other.name, lines);
+          table.append("[[gateway.peer]]\nsite = \"").append(other.name).append("\"\n");
+          table.append("gateways = ").append(addresses).append('\n');
+        }
+      }
+      Workplace workplace = new Workplace("gateway");
+      workplaces.add(workplace);
+      Files.writeString(
+          workplace.members(),
+          Workplace.text(
+              servers.stream().map(each -> Workplace.listed(each, "a", "front", 1)).toList()));
+      InetSocketAddress listen = BalancerProcess.freeAddress();
+      InetSocketAddress admin = BalancerProcess.freeAddress();
+      Path config = workplace.configure(listen, admin, 1024, "");
+      Files.writeString(config, table, StandardOpenOption.APPEND);
+      balancers.add(
+          BalancerProcess.start(config, workplace.folder().resolve("log"), listen, admin, FLAGS));
+    }
+  }
+
+  private static String quoted(InetSocketAddress address) {
+    return "\"127.0.0.1:" + address.getPort() + '"';
+  }
+
+  /** Calls of this site's own, spread over its gateways. */
+  List<OpenLoop> load(
+      NioEventLoopGroup group, double perSecond, long deadlineMillis, long seed, Ledger ledger) {
+    List<OpenLoop> loads = new ArrayList<>();
+    for (int i = 0; i < GATEWAYS; i++) {
+      loads.add(
+          new OpenLoop(
+                  group.next(),
+                  balancers.get(i).listen(),
+                  KINDS,
+                  perSecond / GATEWAYS,
+                  deadlineMillis,
+                  300,
+                  seed + i,
+                  ledger)
+              .start());
+    }
+    return loads;
+  }
+
+  static long count(List<OpenLoop> loads, Tally.Result result) {
+    return loads.stream().mapToLong(load -> load.tally().count(result)).sum();
+  }
+
+  static long total(List<OpenLoop> loads) {
+    return loads.stream().mapToLong(load -> load.tally().total()).sum();
+  }
+
+  /** Takes all links out, or puts them back. */
+  void alone(boolean alone) throws IOException {
+    for (int i = 0; i < GATEWAYS; i++) {
+      for (String site : ways.get(i).keySet()) {
+        balancers.get(i).post("gateway/" + (alone ? "drain/" : "resume/") + site);
+      }
+    }
+  }
+
+  private List<Map<?, ?>> links() throws IOException {
+    List<Map<?, ?>> links = new ArrayList<>();
+    for (BalancerProcess balancer : balancers) {
+      for (Object link : (List<?>) balancer.get("gateway").get("links")) {
+        links.add((Map<?, ?>) link);
+      }
+    }
+    return links;
+  }
+
+  boolean linked() throws IOException {
+    return links().stream()
+        .allMatch(
+            link ->
+                link.get("state").equals("up")
+                    && ((Number) link.get("there_and_back_ms")).doubleValue() > 0);
+  }
+
+  /** A figure summed over all links of all gateways here. */
+  long sum(String figure) throws IOException {
+    return links().stream().mapToLong(link -> ((Number) link.get(figure)).longValue()).sum();
+  }
+
+  /** Calls that came with a trail that had gone astray, over all peers. */
+  long bounced() throws IOException {
+    long bounced = 0;
+    for (BalancerProcess balancer : balancers) {
+      for (Object peer : ((Map<?, ?>) balancer.get("gateway").get("from")).values()) {
+        bounced += ((Number) ((Map<?, ?>) peer).get("bounced")).longValue();
+      }
+    }
+    return bounced;
+  }
+
+  @Override
+  public void close() throws IOException {
+    for (BalancerProcess balancer : balancers) {
+      balancer.kill();
+      balancer.close();
+    }
+    ways.forEach(each -> each.values().forEach(lines -> lines.forEach(DelayLine::close)));
+    servers.forEach(StandIn::close);
+    for (Workplace workplace : workplaces) {
+      workplace.close();
+    }
+  }
+}
--- a/src/main/java/meadowtrack/gateway/Lending.java
+++ b/src/main/java/meadowtrack/gateway/Lending.java
@@ -7,8 +7,15 @@
  * the site turns anybody away, and none while it is strained or has just refused a call of its own.
  */
 final class Lending {
-  /** After a call of its own was refused, nothing is taken for so long. */
-  static final long HOLD_NANOS = 250_000_000L;
+  /**
+   * After a call of its own was refused, nothing is taken for so long. At a quarter of it a site at
+   * 97% of its servers, which refused seven of its own a second, lent in the gaps, and each call
+   * that it took cost it one of its own.
+   */
+  static final long HOLD_NANOS = 1_000_000_000L;
+
+  /** The window is cut once in so long. */
+  private static final long CUT_NANOS = 250_000_000L;
 
   private final DelayWindow window = new DelayWindow();
   private final Strain strain;
@@ -46,7 +53,7 @@
     if (own) {
       refusedNanos = nowNanos;
     }
-    if (!window.cutSince(nowNanos - HOLD_NANOS)) {
+    if (!window.cutSince(nowNanos - CUT_NANOS)) {
       window.cut(nowNanos);
     }
   }
--- a/src/main/java/meadowtrack/gateway/Strain.java
+++ b/src/main/java/meadowtrack/gateway/Strain.java
@@ -3,25 +3,33 @@
 /**
  * Whether a site's own servers take visibly longer than they do at ease: its present delay of a
  * class against the least that it has been of late. Then it has nothing to lend, though nothing was
- * refused yet.
+ * refused yet. A short mean sees a burst; a long one sees a site that is near full all the time and
+ * would look at ease in each lull of its arrivals.
  */
 final class Strain {
-  /** Times the delay at ease. A queue as long as three quarters of the work itself. */
+  /** Times the delay at ease, of the short mean. A queue as long as three quarters of the work. */
   static final double BOUND = 1.75;
 
-  /** Weight of one result; under a tenth of noise where times are exponential. */
+  /** The same of the long mean. */
+  static final double LONG_BOUND = 1.35;
+
+  /** Weight of one result; a tenth of noise where times are exponential. */
   private static final double WEIGHT = 0.02;
 
+  /** Of the long mean: a thirtieth of noise. */
+  private static final double LONG_WEIGHT = 0.002;
+
   /** For so long a least delay counts, and as long again. */
   static final long EASE_NANOS = 30_000_000_000L;
 
   /** What has not been seen for so long says nothing of the present. */
   private static final long RECENT_NANOS = 2_000_000_000L;
 
-  private static final int LEAST_SAMPLES = 20;
+  private static final int LEAST_SAMPLES = 50;
 
   private static final class Kind {
     double delay;
+    double longDelay;
     long count;
     long lastNanos;
     double least = Double.MAX_VALUE;
@@ -40,7 +48,9 @@
 
   void served(long nowNanos, int type, long tookNanos) {
     Kind kind = kinds[type];
-    kind.delay += Math.max(WEIGHT, 1.0 / ++kind.count) * (tookNanos - kind.delay);
+    double first = 1.0 / ++kind.count;
+    kind.delay += Math.max(WEIGHT, first) * (tookNanos - kind.delay);
+    kind.longDelay += Math.max(LONG_WEIGHT, first) * (tookNanos - kind.longDelay);
     kind.lastNanos = nowNanos;
     if (kind.count < LEAST_SAMPLES) {
       kind.turnNanos = nowNanos;
@@ -49,9 +59,9 @@
     if (nowNanos - kind.turnNanos > EASE_NANOS) {
       kind.turnNanos = nowNanos;
       kind.leastBefore = kind.least;
-      kind.least = kind.delay;
+      kind.least = kind.longDelay;
     }
-    kind.least = Math.min(kind.least, kind.delay);
+    kind.least = Math.min(kind.least, kind.longDelay);
   }
 
   boolean strained(long nowNanos) {
@@ -59,7 +69,7 @@
       double ease = Math.min(kind.least, kind.leastBefore);
       if (kind.count >= LEAST_SAMPLES
           && nowNanos - kind.lastNanos < RECENT_NANOS
-          && kind.delay > BOUND * ease) {
+          && (kind.delay > BOUND * ease || kind.longDelay > LONG_BOUND * ease)) {
         return true;
       }
     }
