--- a/src/main/java/loadrig/site/DelayLine.java
+++ b/src/main/java/loadrig/site/DelayLine.java
@@ -17,6 +17,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Supplier;
 import maplehall.runtime.Listeners;
 
 /**
@@ -26,7 +27,7 @@
  */
 public final class DelayLine implements AutoCloseable {
   private final EventLoop loop;
-  private final InetSocketAddress to;
+  private final Supplier<InetSocketAddress> to;
   private final SplittableRandom random;
   private final Set<Channel> open = new HashSet<>();
   private volatile double fromMillis;
@@ -39,9 +40,16 @@
   /** A way to an address, with delays of one direction between two bounds. */
   public DelayLine(
       EventLoop loop, InetSocketAddress to, double fromMillis, double toMillis, long seed) {
-    if (!to.getAddress().isLoopbackAddress()) {
-      throw new IllegalArgumentException("loopback address expected, not " + to);
-    }
+    this(loop, () -> to, fromMillis, toMillis, seed);
+  }
+
+  /** To an address that is asked for with each connection; null while there is none. */
+  public DelayLine(
+      EventLoop loop,
+      Supplier<InetSocketAddress> to,
+      double fromMillis,
+      double toMillis,
+      long seed) {
     this.loop = loop;
     this.to = to;
     this.fromMillis = fromMillis;
@@ -90,7 +98,8 @@
   }
 
   private void accepted(Channel near) {
-    if (cut) {
+    InetSocketAddress target = cut ? null : to.get();
+    if (target == null || !target.getAddress().isLoopbackAddress()) {
       reset(near);
       return;
     }
@@ -103,7 +112,7 @@
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
             .handler(back)
-            .connect(to)
+            .connect(target)
             .addListener(
                 done -> {
                   if (done.isSuccess()) {
--- a/src/main/java/maplehall/dispatch/Dispatcher.java
+++ b/src/main/java/maplehall/dispatch/Dispatcher.java
@@ -368,10 +368,8 @@
   /** Sends a request elsewhere that nothing here has run; false if there is no place for it. */
   private boolean sentAway(LiveRequest request) {
     long now = clock.nowNanos();
-    if (elsewhere == null
-        || !request.neverRan
-        || !request.client.mayLeave()
-        || request.attempts.size() >= settings.limits().mostTries()) {
+    // However many attempts here never ran: a site that is lost has made all of them in no time.
+    if (elsewhere == null || !request.neverRan || !request.client.mayLeave()) {
       return false;
     }
     Upstream place =
--- a/src/main/java/maplehall/gateway/Far.java
+++ b/src/main/java/maplehall/gateway/Far.java
@@ -51,8 +51,14 @@
     return link;
   }
 
-  void tick(long now) {
+  /**
+   * Looks after the connection.
+   *
+   * @param stalledNanos for which this loop has done nothing at all: no sign against the far side
+   */
+  void tick(long now, long stalledNanos) {
     if (link != null) {
+      heardNanos = Math.min(now, heardNanos + stalledNanos);
       if (now - heardNanos > outward.table().silenceNanos()) {
         Log.warn("gateway", place.name + " says nothing: link given up");
         link.context().channel().close();
@@ -61,6 +67,7 @@
         link.ping(now);
       }
     } else if (dialing != null) {
+      dialedNanos += stalledNanos;
       if (now - dialedNanos > DIAL_NANOS) {
         dialing.close();
       }
--- a/src/main/java/maplehall/gateway/InCall.java
+++ b/src/main/java/maplehall/gateway/InCall.java
@@ -41,6 +41,7 @@
 
   private static final int MOST_COMPONENTS = 1024;
   private static final int MOST_ID_LENGTH = 128;
+  private static final int MOST_PATH = 64 << 10;
 
   /** Of a long answer, bytes that wait for the peer before its server is told to wait. */
   private static final int MOST_UNSENT = 256 << 10;
@@ -126,10 +127,9 @@
     if (call == null || !HeaderRules.isToken(call.toString(), MOST_ID_LENGTH)) {
       return "no readable id";
     }
-    return frame.method() == null
-            || frame.path() == null
-            || SiteHeaders.number(frame, SiteHeaders.LEFT) < 0
-        ? "no method, path or time"
+    boolean clear = frame.path() != null && HeaderRules.isToken(frame.path().toString(), MOST_PATH);
+    return frame.method() == null || !clear || SiteHeaders.number(frame, SiteHeaders.LEFT) < 0
+        ? "no clear method, path or time"
         : null;
   }
 
@@ -163,45 +163,57 @@
       answer(SiteHeaders.Result.REFUSED);
       return;
     }
-    lent = inward.gateway().lend(takenNanos);
-    if (!lent) {
+    HttpHeaders forwarded = new DefaultHttpHeaders(false);
+    HttpMethod method;
+    try {
+      method = HttpMethod.valueOf(head.method().toString());
+      HeaderRules.copyEndToEnd(said(), forwarded);
+    } catch (IllegalArgumentException e) { // Over HTTP/1.1 it could say more than one request.
+      Log.warn("gateway", "call of " + site + " refused: " + e.getMessage());
       answer(SiteHeaders.Result.REFUSED);
       return;
     }
-    HttpHeaders said = new DefaultHttpHeaders(false);
-    for (Map.Entry<CharSequence, CharSequence> header : head) {
-      if (!SiteHeaders.own(header.getKey())) {
-        said.add(header.getKey(), header.getValue());
-      }
+    if (!HeaderRules.fits(type, method, forwarded.contains(HeaderRules.IDEMPOTENCY_KEY))) {
+      Log.warn("gateway", "call of " + site + " refused: method or key does not fit its class");
+      answer(SiteHeaders.Result.REFUSED);
+      return;
     }
-    if (head.authority() != null) {
-      said.set(HttpHeaderNames.HOST, head.authority());
+    lent = inward.gateway().lend(takenNanos);
+    if (!lent) {
+      answer(SiteHeaders.Result.REFUSED);
+      return;
     }
-    HttpHeaders forwarded = new DefaultHttpHeaders(false);
-    HeaderRules.copyEndToEnd(said, forwarded);
     ByteBuf taken = body;
     body = null;
     HttpPayload payload =
-        new HttpPayload(
-            inward.pool(),
-            this,
-            HttpMethod.valueOf(head.method().toString()),
-            head.path().toString(),
-            forwarded,
-            taken);
+        new HttpPayload(inward.pool(), this, method, head.path().toString(), forwarded, taken);
     inward
         .dispatcher()
         .onRequest(
             this,
             type,
             name,
-            said.get(HeaderRules.TENANT),
-            "1".equals(said.get(HeaderRules.RETRY)),
+            forwarded.get(HeaderRules.TENANT),
+            "1".equals(forwarded.get(HeaderRules.RETRY)),
             Math.min(left, type.deadlineNanos()),
             Form.HTTP1,
             payload);
   }
 
+  /** What the call says to a server; fails on what cannot stand in a message of HTTP/1.1. */
+  private HttpHeaders said() {
+    HttpHeaders said = new DefaultHttpHeaders(true);
+    for (Map.Entry<CharSequence, CharSequence> header : head) {
+      if (!SiteHeaders.own(header.getKey())) {
+        said.add(header.getKey(), header.getValue());
+      }
+    }
+    if (head.authority() != null) {
+      said.set(HttpHeaderNames.HOST, head.authority());
+    }
+    return said;
+  }
+
   // ---- the one answer ----
 
   @Override
--- a/src/main/java/maplehall/gateway/Inward.java
+++ b/src/main/java/maplehall/gateway/Inward.java
@@ -119,7 +119,7 @@
 
   private void tick() {
     try {
-      outward.tick();
+      outward.tick(TICK_MILLIS * 1_000_000L);
       long now = now();
       List.copyOf(links).forEach(link -> link.tick(now));
     } catch (RuntimeException e) {
--- a/src/main/java/maplehall/gateway/OutCall.java
+++ b/src/main/java/maplehall/gateway/OutCall.java
@@ -133,7 +133,8 @@
     }
     long now = outward.now();
     int said = (int) Math.min(Integer.MAX_VALUE, room);
-    outward.gateway().onAnswer(now, far.state, type, now - sentNanos, took * 1000, said);
+    boolean served = result == SiteHeaders.Result.SERVED;
+    outward.gateway().onAnswer(now, far.state, type, now - sentNanos, took * 1000, served, said);
     switch (result) {
       case REFUSED -> over(Outcome.REFUSED, last);
       case FAILED -> over(Outcome.ERROR, last);
@@ -150,10 +151,15 @@
 
   private void served(Http2Headers frame, boolean last) {
     head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-    for (Map.Entry<CharSequence, CharSequence> header : frame) {
-      if (!SiteHeaders.own(header.getKey())) {
-        head.headers().add(header.getKey(), header.getValue());
+    try {
+      for (Map.Entry<CharSequence, CharSequence> header : frame) {
+        if (!SiteHeaders.own(header.getKey())) {
+          head.headers().add(header.getKey(), header.getValue());
+        }
       }
+    } catch (IllegalArgumentException e) { // Over HTTP/1.1 it could say more than one answer.
+      broken(String.valueOf(e.getMessage()));
+      return;
     }
     gathered = Unpooled.compositeBuffer(MOST_COMPONENTS);
     if (last) {
--- a/src/main/java/maplehall/gateway/Outward.java
+++ b/src/main/java/maplehall/gateway/Outward.java
@@ -34,6 +34,7 @@
   private final Map<Upstream, Far> byPlace = new LinkedHashMap<>();
   private final List<Far> all;
   private Identity identity;
+  private long lastTickNanos;
 
   Outward(GatewayTable table, Gateway gateway, Front.Parts parts, Identity identity) {
     this.table = table;
@@ -89,9 +90,12 @@
     channel.closeFuture().addListener(closed -> budget.closed());
   }
 
-  void tick() {
+  /** To be called every so often; what comes much later was held up, and its links with it. */
+  void tick(long periodNanos) {
     long now = now();
-    all.forEach(far -> far.tick(now));
+    long late = lastTickNanos == 0 ? 0 : now - lastTickNanos - periodNanos;
+    lastTickNanos = now;
+    all.forEach(far -> far.tick(now, late > periodNanos ? late : 0));
   }
 
   /** From now on this is shown; links that have the earlier one are replaced. */
--- a/src/main/java/maplehall/http1/ClientHandler.java
+++ b/src/main/java/maplehall/http1/ClientHandler.java
@@ -302,13 +302,9 @@
     // No client waits longer than its class allows, and nothing is held for it any longer.
     ttlNanos = Math.min(ttlNanos, type.deadlineNanos());
     boolean key = next.headers().contains(HeaderRules.IDEMPOTENCY_KEY);
-    boolean fits =
-        switch (type.effect()) {
-          case SAFE -> next.method().equals(HttpMethod.GET);
-          case KEYED -> next.method().equals(HttpMethod.POST) && key;
-          case UNSAFE -> next.method().equals(HttpMethod.POST) && !key;
-        };
-    return fits ? null : "method or key does not fit class " + type.name();
+    return HeaderRules.fits(type, next.method(), key)
+        ? null
+        : "method or key does not fit class " + type.name();
   }
 
   private void reserve(long bytes) {
--- a/src/main/java/maplehall/http1/HeaderRules.java
+++ b/src/main/java/maplehall/http1/HeaderRules.java
@@ -2,12 +2,14 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import meadowtrack.api.RequestClass;
 
 /** The headers that the balancer itself reads or writes, and which ones go on. */
 public final class HeaderRules {
@@ -66,6 +68,15 @@
     return null;
   }
 
+  /** Whether a method, with a key or without one, is that of a class's effect. */
+  public static boolean fits(RequestClass type, HttpMethod method, boolean key) {
+    return switch (type.effect()) {
+      case SAFE -> method.equals(HttpMethod.GET);
+      case KEYED -> method.equals(HttpMethod.POST) && key;
+      case UNSAFE -> method.equals(HttpMethod.POST) && !key;
+    };
+  }
+
   /** Whether a text is of visible ASCII characters, and not empty or longer than allowed. */
   public static boolean isToken(String text, int mostLength) {
     return !text.isEmpty()
--- a/src/main/java/meadowtrack/gateway/Gateway.java
+++ b/src/main/java/meadowtrack/gateway/Gateway.java
@@ -182,13 +182,23 @@
    *
    * @param tookNanos from the call to its answer
    * @param farNanos of it in the far site, as that says
+   * @param served whether it was served; how long a refusal takes says nothing of the next call
    * @param room that the far site says to have
    */
   public void onAnswer(
-      long nowNanos, FarLink link, RequestClass type, long tookNanos, long farNanos, int room) {
+      long nowNanos,
+      FarLink link,
+      RequestClass type,
+      long tookNanos,
+      long farNanos,
+      boolean served,
+      int room) {
     long far = Math.max(0, Math.min(tookNanos, farNanos));
     link.trip.sample(tookNanos - far);
     link.onNews(nowNanos, room);
+    if (!served) {
+      return;
+    }
     int of = index.get(type.name());
     double before = link.farDelay[of];
     link.farDelay[of] = before == 0 ? far : before + WEIGHT * (far - before);
--- a/src/test/java/maplehall/gateway/GatewayTest.java
+++ b/src/test/java/maplehall/gateway/GatewayTest.java
@@ -63,6 +63,21 @@
     }
   }
 
+  /** Its only server cannot be reached: every attempt that a request has is made in no time. */
+  @Test
+  void aSiteThatIsLostIsServedByItsNeighbour() throws Exception {
+    try (SitesFixture sites = new SitesFixture().site("hat-yai", 0, 1, 1)) {
+      // Port 1 is nobody's on a machine for tests.
+      sites.site("hat-yai").line("gone-1 127.0.0.1:1 a front 0 1 in_service");
+      sites.site("bangkok", 4, 8, 5).linked(false);
+      OpenLoop load = sites.site("hat-yai").load(50, 3000, VIEW, PUBLISH);
+      Await.until("served", () -> load.tally().count(Tally.Result.SERVED) > 50);
+      load.stop();
+      assertEquals(0, load.tally().count(Tally.Result.LOST));
+      assertEquals(0, load.tally().count(Tally.Result.FAILED)); // A new link may still refuse some.
+    }
+  }
+
   // ---- a link that fails under a call ----
 
   /** One call whose server here is busy for good, so that it has to go across. */
@@ -184,6 +199,29 @@
     }
   }
 
+  /** A process that was held up finds no fault in its peers. */
+  @Test
+  void aStallOfThisProcessBreaksNoLink() throws Exception {
+    try (SitesFixture sites =
+        new SitesFixture().site("hat-yai", 1, 1, 10).site("bangkok", 1, 1, 10).linked(false)) {
+      SitesFixture.Site home = sites.site("hat-yai");
+      Object breaks = home.links().get(0).get("breaks"); // Dialled before the other one listened.
+      for (int i = 0; i < 3; i++) {
+        home.node
+            .node()
+            .loop()
+            .submit(
+                () -> {
+                  Thread.sleep(1500);
+                  return null;
+                })
+            .get();
+        assertEquals("up", home.links().get(0).get("state"));
+      }
+      assertEquals(breaks, home.links().get(0).get("breaks"));
+    }
+  }
+
   // ---- full sites ----
 
   /** All of them have less than is asked of them: each keeps to its own and nothing goes round. */
--- a/src/test/java/maplehall/gateway/PeerTest.java
+++ b/src/test/java/maplehall/gateway/PeerTest.java
@@ -1,6 +1,7 @@
 package maplehall.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.bootstrap.Bootstrap;
@@ -90,7 +91,7 @@
             .group(sites.group)
             .channel(NioSocketChannel.class)
             .handler(raw)
-            .connect(sites.site("bangkok").listen)
+            .connect(sites.site("bangkok").listen())
             .sync()
             .channel();
     Call call = new Call();
@@ -139,6 +140,23 @@
     assertEquals(0, sites.site("bangkok").received());
   }
 
+  /** What would be a second request to a server over HTTP/1.1. */
+  @ParameterizedTest
+  @CsvSource({
+    ":path, '/next HTTP/1.1|Evil: 1|'",
+    ":method, 'GET /other HTTP/1.1|'",
+    ":method, POST",
+    "x-evil, 'a|b: c'",
+    ":authority, 'b|x: y'"
+  })
+  void aCallThatHidesAnotherIsRefused(String header, String value) throws Exception {
+    Http2Headers headers = new DefaultHttp2Headers(false, 16);
+    good().forEach(each -> headers.add(each.getKey(), each.getValue()));
+    headers.set(header, value.replace("|", "\r\n"));
+    assertNotEquals("200", String.valueOf(ask(headers).status()));
+    assertEquals(0, sites.site("bangkok").received());
+  }
+
   @Test
   void twoTrailsAreNone() throws Exception {
     assertEquals("503", ask(good().add("x-site-trail", "1;hat-yai")).status().toString());
--- a/src/test/java/maplehall/gateway/SitesFixture.java
+++ b/src/test/java/maplehall/gateway/SitesFixture.java
@@ -11,7 +11,6 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
-import loadrig.balancer.BalancerProcess;
 import loadrig.balancer.Workplace;
 import loadrig.client.Kind;
 import loadrig.client.Ledger;
@@ -43,19 +42,21 @@
   final class Site implements AutoCloseable {
     final String name;
     final String key;
-    final InetSocketAddress listen;
+
+    /** Somebody else who listens in place of the gateway, or null. */
+    volatile InetSocketAddress instead;
+
     final List<StandIn> servers = new ArrayList<>();
     final Map<String, DelayLine> ways = new LinkedHashMap<>();
     final Workplace workplace;
     String certificate;
     private final List<String> lines = new ArrayList<>();
-    StandaloneNode node;
+    volatile StandaloneNode node;
 
     Site(String key, String name, int servers, Shape shape) throws Exception {
       this.key = key;
       this.name = name;
       certificate = key;
-      listen = BalancerProcess.freeAddress();
       workplace = new Workplace("site");
       for (int i = 0; i < servers; i++) {
         StandIn server =
@@ -64,6 +65,12 @@
       }
     }
 
+    /** Where other gateways connect, or null while nobody listens. */
+    InetSocketAddress listen() {
+      StandaloneNode now = node;
+      return instead != null ? instead : now == null ? null : now.gateway().address();
+    }
+
     /** A server in words of the list's own. */
     void line(String words) {
       lines.add(words);
@@ -140,8 +147,7 @@
       Path file = workplace.configure(ANY, ANY, 512, "");
       StringBuilder table = new StringBuilder("[[class]]\nname = \"keyed\"\neffect = \"keyed\"\n");
       table.append("window = \"5s\"\naim = \"2500ms\"\ndeadline = \"6s\"\n");
-      table.append("[gateway]\nsite = \"").append(name).append("\"\nlisten = \"127.0.0.1:");
-      table.append(listen.getPort()).append("\"\n");
+      table.append("[gateway]\nsite = \"").append(name).append("\"\nlisten = \"127.0.0.1:0\"\n");
       if (tls) {
         authority().sign(key, name);
         table.append("certificate = \"").append(folder.resolve(certificate + ".pem"));
@@ -153,7 +159,7 @@
       Map<String, List<String>> others = new LinkedHashMap<>();
       for (Site other : sites.values()) {
         if (!other.name.equals(name)) {
-          DelayLine way = new DelayLine(group.next(), other.listen, 5.6, 10, seed++).start();
+          DelayLine way = new DelayLine(group.next(), other::listen, 5.6, 10, seed++).start();
           ways.put(other.key, way);
           others
               .computeIfAbsent(other.name, any -> new ArrayList<>())
@@ -173,8 +179,9 @@
       if (result.config() == null) {
         throw new AssertionError(result.faults());
       }
-      node = new StandaloneNode(file, result.config());
-      node.start();
+      StandaloneNode starting = new StandaloneNode(file, result.config());
+      starting.start();
+      node = starting;
     }
 
     @Override
--- a/src/test/java/maplehall/gateway/TrustTest.java
+++ b/src/test/java/maplehall/gateway/TrustTest.java
@@ -10,6 +10,7 @@
 import io.netty.handler.ssl.SslProvider;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import javax.net.ssl.SSLContext;
@@ -43,7 +44,7 @@
     try (SSLSocket socket =
         (SSLSocket)
             as.getSocketFactory()
-                .createSocket(InetAddress.getLoopbackAddress(), site.listen.getPort())) {
+                .createSocket(InetAddress.getLoopbackAddress(), site.listen().getPort())) {
       socket.setSoTimeout(20_000);
       if (protocols.length > 0) {
         socket.setEnabledProtocols(protocols);
@@ -100,11 +101,11 @@
                       .build())
               .context();
       SitesFixture.Site home = sites.site("hat-yai");
-      int port = sites.site("bangkok").listen.getPort();
       try (SSLServerSocket listener =
           (SSLServerSocket)
               udon.getServerSocketFactory()
-                  .createServerSocket(port, 50, InetAddress.getLoopbackAddress())) {
+                  .createServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+        sites.site("bangkok").instead = (InetSocketAddress) listener.getLocalSocketAddress();
         Thread thread =
             new Thread(
                 () -> {
--- a/src/test/java/meadowtrack/gateway/GatewayTest.java
+++ b/src/test/java/meadowtrack/gateway/GatewayTest.java
@@ -44,7 +44,7 @@
   }
 
   private void served(FarLink link, long tookMillis, long farMillis, int room) {
-    gateway.onAnswer(now, link, VIEW, tookMillis * MS, farMillis * MS, room);
+    gateway.onAnswer(now, link, VIEW, tookMillis * MS, farMillis * MS, true, room);
     gateway.onEnded(now, link, VIEW, Outcome.OK, tookMillis * MS);
   }
 
@@ -73,6 +73,16 @@
     assertEquals(385 * MS, gateway.leftThere(link, 400 * MS), MS);
   }
 
+  @Test
+  void howLongARefusalTakesSaysNothing() {
+    FarLink link = link("bangkok", 15);
+    served(choose(), 215, 200, 10);
+    for (int i = 0; i < 50; i++) {
+      gateway.onAnswer(now, link, VIEW, 16 * MS, MS, false, 10);
+    }
+    assertNull(gateway.choose(now, VIEW, 190 * MS, 0));
+  }
+
   /** Without any loss: the way alone leaves too little, and the other link is taken. */
   @Test
   void aDelayThatRisesTenfoldClosesALinkForShortCalls() {
@@ -106,7 +116,7 @@
   @Test
   void newsOfRoomHoldsForASecond() {
     FarLink link = link("bangkok", 15);
-    gateway.onAnswer(now, link, VIEW, 60 * MS, 40 * MS, 2);
+    gateway.onAnswer(now, link, VIEW, 60 * MS, 40 * MS, true, 2);
     assertNotNull(choose());
     assertNotNull(choose());
     assertNull(choose());
@@ -119,9 +129,9 @@
   @Test
   void aPeerThatLiesGainsNothing() {
     FarLink link = link("bangkok", 15);
-    gateway.onAnswer(now, link, VIEW, 60 * MS, Long.MAX_VALUE, Integer.MAX_VALUE);
-    gateway.onAnswer(now, link, VIEW, 60 * MS, -5, Integer.MIN_VALUE);
-    gateway.onAnswer(now, link, VIEW, 60 * MS, 45 * MS, Integer.MAX_VALUE);
+    gateway.onAnswer(now, link, VIEW, 60 * MS, Long.MAX_VALUE, true, Integer.MAX_VALUE);
+    gateway.onAnswer(now, link, VIEW, 60 * MS, -5, true, Integer.MIN_VALUE);
+    gateway.onAnswer(now, link, VIEW, 60 * MS, 45 * MS, true, Integer.MAX_VALUE);
     int sent = 0;
     while (choose() != null) {
       sent++;
@@ -241,7 +251,7 @@
                     FarLink link = each.choose(at, VIEW, SECOND, 0);
                     drawn.add(link == null ? "-" : link.site());
                     if (link != null) {
-                      each.onAnswer(at, link, VIEW, 20 * MS, 5 * MS, 9);
+                      each.onAnswer(at, link, VIEW, 20 * MS, 5 * MS, true, 9);
                       each.onEnded(at, link, VIEW, Outcome.OK, 20 * MS);
                     }
                   }
