Leave room beside answers that go on, and judge a server by when they begin

Seen again 5 times in 150 on two busy cores. Checked: flow control of both ends at that moment; a lost WINDOW_UPDATE, a lost flush and held bytes are ruled out. The module had its one server at 1 call of a window of 1: DelayWindow.cut had set it to one after a false alarm, and the answer that nobody read held that place until its deadline. A window opens with completions alone (DelayWindow.onCompletion), and Server.silent took the quiet call for silence.

Also found there: Balancer.judge was given what an answer took to its end, so a slow reader of a gRPC stream passed for a slow server; the gateway's strain was told the same.

Now an answer counts as a completion when it begins (onFirst is told what it took), its end tells nothing, it is not silence, and a cut leaves room for one call beside those that have begun. A connection that its client's leaving closed is no longer logged as a spoilt answer.

--- a/src/main/java/loadrig/explore/Mutant.java
+++ b/src/main/java/loadrig/explore/Mutant.java
@@ -28,11 +28,11 @@
           new Mutant(DISPATCHER, "        callOff(other); // Two", "        // Two"),
           new Mutant(
               DISPATCHER,
-              "    counters.served++;\n    event(\n",
+              "    counters.served++;\n    event(request",
               "    counters.served++;\n"
                   + "    request.attempts.stream().filter(a -> a != attempt).toList()"
                   + ".forEach(this::callOff);\n"
-                  + "    event(\n"),
+                  + "    event(request"),
           new Mutant(
               DISPATCHER,
               "    if (request.over) {\n      release(answer);\n    } else if (outcome",
@@ -63,7 +63,7 @@
           new Mutant(BALANCER, "    attempt.server.onEnd(attempt);\n", ""),
           new Mutant(BALANCER, "attempt.mayHaveRun = !outcome.neverRan();", ""),
           new Mutant(BALANCER, "    entry.onEnd(nowNanos, request, request.tries > 0);\n", ""),
-          new Mutant(BALANCER, "      entry.onEnd(nowNanos, request, true);\n", ""),
+          new Mutant(BALANCER, "      entry.onEnd(nowNanos, attempt.request, true);\n", ""),
           new Mutant(BALANCER, "        actions.cancel(request.id, i);\n", ""),
           new Mutant(BALANCER, "      requests.remove(request.id);\n", ""),
           new Mutant(BALANCER, "if (request.mayRefuse()) {", "if (true) {"),
--- a/src/main/java/maplehall/dispatch/Dispatcher.java
+++ b/src/main/java/maplehall/dispatch/Dispatcher.java
@@ -289,12 +289,15 @@
     if (!attempt.open || request.over) {
       return false;
     }
+    long now = clock.nowNanos();
+    long took = now - Math.max(attempt.sentNanos, request.wholeNanos);
+    attempt.begun = true;
+    if (elsewhere != null && !attempt.away) {
+      elsewhere.servedHere(request.type, now - request.wholeNanos);
+    }
     answered(request);
     counters.served++;
-    event(
-        request,
-        () ->
-            balancer.onFirst(clock.nowNanos(), request.id, attempt.number, attempt.upstream().id));
+    event(request, () -> balancer.onFirst(now, request.id, attempt.number, took));
     // The module hears of it first: told of another's end while it holds the request for open, it
     // would call off this one too.
     for (LiveRequest.Attempt other : List.copyOf(request.attempts)) {
@@ -333,7 +336,7 @@
       endedAway(attempt, outcome, until);
       return;
     }
-    if (elsewhere != null && outcome == Outcome.OK) {
+    if (elsewhere != null && outcome == Outcome.OK && !attempt.begun) {
       elsewhere.servedHere(request.type, until - request.wholeNanos);
     }
     event(
@@ -345,7 +348,6 @@
                 clock.nowNanos(),
                 request.id,
                 attempt.number,
-                attempt.upstream().id,
                 outcome,
                 until - Math.max(attempt.sentNanos, request.wholeNanos),
                 request.over);
--- a/src/main/java/maplehall/dispatch/LiveRequest.java
+++ b/src/main/java/maplehall/dispatch/LiveRequest.java
@@ -35,6 +35,10 @@
     boolean away;
 
     boolean open = true;
+
+    /** Whether its answer goes on to the caller as it comes. */
+    boolean begun;
+
     Future<?> timeout;
 
     Attempt(LiveRequest request, int number, Upstream upstream, long sentNanos, Listener listener) {
--- a/src/main/java/maplehall/http1/UpstreamConnection.java
+++ b/src/main/java/maplehall/http1/UpstreamConnection.java
@@ -540,7 +540,7 @@
 
   /** The connection broke; before the last byte was written nothing can run. */
   private void broken() {
-    if (phase == Phase.PASS) {
+    if (phase == Phase.PASS && !closed) {
       spoilt("it broke off");
       return;
     }
--- a/src/main/java/meadowtrack/adapter/WireReader.java
+++ b/src/main/java/meadowtrack/adapter/WireReader.java
@@ -189,24 +189,23 @@
 
   private void opened(Instance instance) throws IOException, ProtocolException {
     long rid = number("rid");
-    number("took_ns");
+    long took = number("took_ns");
     int shot = (int) number("shot");
-    long upstream = number("upstream");
+    number("upstream");
     end();
-    guarded(() -> instance.balancer.onFirst(nowNanos, rid, shot, upstream));
+    guarded(() -> instance.balancer.onFirst(nowNanos, rid, shot, took));
   }
 
   private void response(Instance instance) throws IOException, ProtocolException {
     long rid = number("rid");
     int shot = (int) number("shot");
-    long upstream = number("upstream");
+    number("upstream");
     Outcome outcome = outcome(number("reason"));
     long took = number("took_ns");
     boolean terminal = bool("terminal");
     pressure();
     end();
-    guarded(
-        () -> instance.balancer.onOutcome(nowNanos, rid, shot, upstream, outcome, took, terminal));
+    guarded(() -> instance.balancer.onOutcome(nowNanos, rid, shot, outcome, took, terminal));
   }
 
   private void hangup(Instance instance) throws IOException, ProtocolException {
--- a/src/main/java/meadowtrack/core/Balancer.java
+++ b/src/main/java/meadowtrack/core/Balancer.java
@@ -137,32 +137,31 @@
     return true;
   }
 
-  /** A stream has begun; its deadline no longer runs. */
-  public void onFirst(long nowNanos, long id, int attempt, long serverId) {
-    Request request = requests.get(id);
-    if (request != null && !request.over) {
-      request.over = true;
-      entry.onEnd(nowNanos, request, true);
+  /** An answer has begun, so long after its server had the request; its deadline no longer runs. */
+  public void onFirst(long nowNanos, long id, int number, long tookNanos) {
+    Request.Attempt attempt = open(id, number);
+    if (attempt != null && !attempt.request.over) {
+      attempt.request.over = true;
+      entry.onEnd(nowNanos, attempt.request, true);
+      attempt.server.onFirst(attempt);
+      served(nowNanos, attempt, tookNanos);
     }
   }
 
+  private Request.Attempt open(long id, int number) {
+    Request request = requests.get(id);
+    boolean known = request != null && number >= 0 && number < request.tries;
+    return known && request.attempts[number].open ? request.attempts[number] : null;
+  }
+
   /** An attempt has ended. */
   public void onOutcome(
-      long nowNanos,
-      long id,
-      int number,
-      long serverId,
-      Outcome outcome,
-      long tookNanos,
-      boolean terminal) {
-    Request request = requests.get(id);
-    if (request == null || number < 0 || number >= request.tries) {
-      return;
-    }
-    Request.Attempt attempt = request.attempts[number];
-    if (!attempt.open) {
+      long nowNanos, long id, int number, Outcome outcome, long tookNanos, boolean terminal) {
+    Request.Attempt attempt = open(id, number);
+    if (attempt == null) {
       return;
     }
+    Request request = attempt.request;
     attempt.open = false;
     request.open--;
     attempt.server.onEnd(attempt);
@@ -417,6 +416,9 @@
 
   private void judge(long nowNanos, Request.Attempt attempt, Outcome outcome, long tookNanos) {
     Server server = attempt.server;
+    if (attempt.begun && outcome == Outcome.OK) {
+      return; // Told when it began; since then it has gone on at its caller's pace.
+    }
     switch (outcome) {
       case OK -> served(nowNanos, attempt, tookNanos);
       // A dying server resets all its calls at once; single resets may strike all servers alike.
@@ -448,7 +450,8 @@
     if (members.coldNow(server, nowNanos)) {
       return; // A cold server's delays are no measure of its normal ones.
     }
-    if (server.window.onCompletion(nowNanos, attempt.sentNanos, ratio, server.inFlight + 1)) {
+    int inFlight = server.inFlight + (attempt.open ? 0 : 1);
+    if (server.window.onCompletion(nowNanos, attempt.sentNanos, ratio, inFlight)) {
       server.rest(nowNanos, random.nextDouble());
       members.setOf(server).leave(server);
     }
--- a/src/main/java/meadowtrack/core/DelayWindow.java
+++ b/src/main/java/meadowtrack/core/DelayWindow.java
@@ -135,6 +135,11 @@
     Arrays.fill(recent, 0);
   }
 
+  /** A cut would close a server for as long as anybody reads answers that have begun. */
+  void leaveRoom(int begun) {
+    window = Math.max(window, Math.min(START, 1 + begun));
+  }
+
   private void push(double sample) {
     if (recentCount == RECENT) {
       recentSum -= recent[recentNext];
--- a/src/main/java/meadowtrack/core/Request.java
+++ b/src/main/java/meadowtrack/core/Request.java
@@ -5,16 +5,15 @@
 
 /** One request and its attempts. */
 final class Request {
-  /** One attempt; a link in its server's list of calls in flight, oldest first. */
+  /** One attempt. */
   static final class Attempt {
     final Request request;
     final Server server;
     final int number;
     final long sentNanos;
     final long overdueNanos;
-    Attempt older;
-    Attempt newer;
     boolean open = true;
+    boolean begun;
     boolean mayHaveRun;
 
     Attempt(Request request, Server server, int number, long sentNanos, long overdueNanos) {
--- a/src/main/java/meadowtrack/core/Server.java
+++ b/src/main/java/meadowtrack/core/Server.java
@@ -1,5 +1,7 @@
 package meadowtrack.core;
 
+import java.util.LinkedHashSet;
+import java.util.Set;
 import meadowtrack.api.Health;
 import meadowtrack.api.ServerEntry;
 
@@ -27,8 +29,10 @@
 
   final DelayWindow window = new DelayWindow();
   int inFlight;
-  Request.Attempt oldest;
-  Request.Attempt newest;
+
+  /** Calls in flight whose answer has not begun, oldest first. */
+  private final Set<Request.Attempt> owed = new LinkedHashSet<>();
+
   long heardNanos = Long.MIN_VALUE / 2;
   long usedNanos = Long.MIN_VALUE / 2;
   long restUntilNanos = Long.MIN_VALUE / 2;
@@ -59,10 +63,10 @@
 
   /** Silent: nothing at all came back for as long as makes its oldest call overdue. */
   boolean silent(long nowNanos) {
-    Request.Attempt head = oldest;
-    if (head == null) {
+    if (owed.isEmpty()) {
       return false;
     }
+    Request.Attempt head = owed.iterator().next();
     long quiet = nowNanos - Math.max(heardNanos, head.sentNanos);
     return quiet > head.overdueNanos - head.sentNanos;
   }
@@ -73,6 +77,7 @@
 
   /** Leaves service for a while: longer each time, and never in step with other balancers. */
   void rest(long nowNanos, double jitter) {
+    window.leaveRoom(inFlight - owed.size());
     long base = REST_NANOS << Math.min(failures, MOST_DOUBLINGS);
     failures++;
     restUntilNanos = nowNanos + (long) (base * (0.5 + jitter));
@@ -81,28 +86,17 @@
   void onSend(Request.Attempt attempt) {
     inFlight++;
     usedNanos = attempt.sentNanos;
-    attempt.older = newest;
-    if (newest == null) {
-      oldest = attempt;
-    } else {
-      newest.newer = attempt;
-    }
-    newest = attempt;
+    owed.add(attempt);
+  }
+
+  /** It has answered; what still comes may take as long as the caller likes. */
+  void onFirst(Request.Attempt attempt) {
+    owed.remove(attempt);
+    attempt.begun = true;
   }
 
   void onEnd(Request.Attempt attempt) {
     inFlight--;
-    if (attempt.older == null) {
-      oldest = attempt.newer;
-    } else {
-      attempt.older.newer = attempt.newer;
-    }
-    if (attempt.newer == null) {
-      newest = attempt.older;
-    } else {
-      attempt.newer.older = attempt.older;
-    }
-    attempt.older = null;
-    attempt.newer = null;
+    owed.remove(attempt);
   }
 }
--- a/src/test/java/meadowtrack/EmbeddingTest.java
+++ b/src/test/java/meadowtrack/EmbeddingTest.java
@@ -81,7 +81,7 @@
         now, ListForm.WHOLE, List.of(new ServerEntry(9, "here", "big", 0, Health.READY, 1, 0)));
     balancer.onRequest(now, 1, "read", null, 4 * SECOND, false, Form.HTTP1);
     long later = now + SECOND / 10;
-    balancer.onOutcome(later, 1, 0, 9, Outcome.OK, later - now, true);
+    balancer.onOutcome(later, 1, 0, Outcome.OK, later - now, true);
     assertEquals(List.of("send 1 to 9"), seen);
   }
 
--- a/src/test/java/meadowtrack/core/BalancerTest.java
+++ b/src/test/java/meadowtrack/core/BalancerTest.java
@@ -303,7 +303,7 @@
     h.balancer.onGone(h.now, 1);
     h.outcome(sent, Outcome.CANCELLED, true);
     h.outcome(sent, Outcome.OK, true);
-    h.balancer.onOutcome(h.now, 77, 0, 999, Outcome.UNKNOWN, 5, true);
+    h.balancer.onOutcome(h.now, 77, 0, Outcome.UNKNOWN, 5, true);
     h.balancer.onTimer(h.now, 12345);
     h.request(2, "no such class");
     assertEquals(2, h.sent.size());
--- /dev/null
+++ b/src/test/java/meadowtrack/core/BegunTest.java
@@ -0,0 +1,82 @@
+package meadowtrack.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import meadowtrack.api.Outcome;
+import org.junit.jupiter.api.Test;
+
+/** Answers that go on as they come, at the pace of whoever reads them. */
+class BegunTest {
+  private final Harness harness =
+      new Harness(Harness.settings(0, Harness.safe("a"))).readyServers(1);
+  private long id;
+
+  private Harness.Sent sent() {
+    int before = harness.sent.size();
+    harness.request(id++, "a");
+    assertEquals(before + 1, harness.sent.size(), "sent at once");
+    return harness.last();
+  }
+
+  private Harness.Sent begun() {
+    Harness.Sent sent = sent();
+    harness.advance(10 * Harness.MS);
+    harness.balancer.onFirst(harness.now, sent.request(), 0, 10 * Harness.MS);
+    return sent;
+  }
+
+  @Test
+  void aCutServerHasRoomBesideThem() {
+    begun(); // Nobody reads it.
+    Harness.Sent turnedAway = sent();
+    harness.outcome(turnedAway, Outcome.REFUSED, true);
+    harness.advance(2 * Server.REST_NANOS);
+    for (int i = 0; i < 40; i++) {
+      Harness.Sent next = sent();
+      harness.advance(10 * Harness.MS);
+      harness.outcome(next, Outcome.OK, true);
+    }
+  }
+
+  @Test
+  void oneThatBeginsInGoodTimeOpensACutWindow() {
+    harness.outcome(sent(), Outcome.REFUSED, true);
+    harness.advance(2 * Server.REST_NANOS);
+    for (int i = 0; i < 10; i++) { // None of them ends.
+      begun();
+    }
+  }
+
+  /** They take turns: all that read slowly have their answers of the one server. */
+  @Test
+  void aSlowReaderIsNoSlowServer() {
+    harness.readyServers(2);
+    for (int i = 0; i < 40; i++) {
+      Harness.Sent slow = begun();
+      harness.advance((slow.server() == 1 ? 300 : 3) * Harness.MS);
+      harness.outcome(slow, Outcome.OK, true);
+    }
+    assertTrue(harness.balancer.load(1)[1] >= DelayWindow.START, "the window was cut");
+  }
+
+  @Test
+  void itsServerIsNotSilent() {
+    begun();
+    harness.advance(3600 * Harness.SECOND);
+    String figures = harness.balancer.figures(harness.now);
+    assertTrue(figures.contains("silent 0"), figures);
+  }
+
+  @Test
+  void oneThatBreaksOffIsAnError() {
+    harness.readyServers(4);
+    for (int i = 0; i < 12; i++) {
+      Harness.Sent broken = begun();
+      harness.advance(10 * Harness.MS);
+      harness.outcome(broken, Outcome.RESET, true);
+    }
+    String figures = harness.balancer.figures(harness.now);
+    assertTrue(!figures.contains("errors 0.00"), figures);
+  }
+}
--- a/src/test/java/meadowtrack/core/Harness.java
+++ b/src/test/java/meadowtrack/core/Harness.java
@@ -98,13 +98,7 @@
 
   void outcome(Sent attempt, Outcome outcome, boolean terminal) {
     balancer.onOutcome(
-        now,
-        attempt.request(),
-        attempt.attempt(),
-        attempt.server(),
-        outcome,
-        now - attempt.atNanos(),
-        terminal);
+        now, attempt.request(), attempt.attempt(), outcome, now - attempt.atNanos(), terminal);
   }
 
   /** Moves the clock, firing timers that come due on the way. */
