Give up a peer's call that has stopped while its link's PINGs go on

A peer that stopped in the middle of a call's body, or took nothing of its answer, held that call and its bytes for as long as the link was up; most_streams and most_held bounded how many, nothing ended them. Now after [gateway] patience (10 s) the first is refused, as nothing of it has run, and the second is reset; the link and its other calls stay.

InLink and ClientLink left by the same lines and cut by the same walk: both are in ServedLink now. Two tests with a raw peer on the link, which hung without the cut.

--- a/src/main/java/maplehall/gateway/GatewayTable.java
+++ b/src/main/java/maplehall/gateway/GatewayTable.java
@@ -18,6 +18,7 @@
  * @param listen where gateways of other sites connect
  * @param keys null for plain text, which a configuration has to ask for
  * @param silenceNanos after which a link that answers no PING is broken
+ * @param patienceNanos after which a call is given up whose peer sends or takes nothing
  * @param mostStreams calls of one peer's connection at a time
  * @param mostHeld bytes of other sites' calls that are held at a time
  */
@@ -27,6 +28,7 @@
     Keys keys,
     List<FarSite> sites,
     long silenceNanos,
+    long patienceNanos,
     int mostStreams,
     long mostHeld) {
 
@@ -74,6 +76,7 @@
             keys,
             List.copyOf(sites),
             table.nanos("silence", "1s", "100ms", "1min"),
+            table.nanos("patience", "10s", "100ms", "10min"),
             (int) table.whole("most_streams", 1000L, 1, 100_000),
             table.whole("most_held", 16L << 20, 1 << 20, 1L << 32));
     if (keys == null && table.flag("insecure", false)) {
--- a/src/main/java/maplehall/gateway/InCall.java
+++ b/src/main/java/maplehall/gateway/InCall.java
@@ -24,7 +24,7 @@
 import maplehall.http1.HeaderRules;
 import maplehall.http1.HttpAnswer;
 import maplehall.http1.HttpPayload;
-import maplehall.http2.Link;
+import maplehall.http2.ServedLink;
 import maplehall.runtime.Log;
 import meadowtrack.api.Form;
 import meadowtrack.api.RequestClass;
@@ -35,7 +35,7 @@
  * One call of another site: served by this site's own servers or refused at once, and never sent
  * on. Everything that its peer says is checked before anything is done for it.
  */
-final class InCall implements Link.Handler, Caller, AnswerSink {
+final class InCall implements ServedLink.Call, Caller, AnswerSink {
   /** A front gathers no longer body, so no peer sends one. */
   private static final int MOST_BODY_BYTES = 1 << 20;
 
@@ -64,13 +64,17 @@
   /** Brings an answer that goes on as it comes. */
   private AnswerSource source;
 
+  /** Bytes of the answer that the peer has not taken, and when it last took or sent any. */
   private int unsent;
 
+  private long movedNanos;
+
   InCall(Inward inward, InLink link, int id) {
     this.inward = inward;
     this.link = link;
     this.id = id;
     begunNanos = inward.now();
+    movedNanos = begunNanos;
   }
 
   // ---- what the peer sends ----
@@ -240,7 +244,7 @@
     if (empty) {
       from.release();
     } else {
-      link.data(id, from.body(), true);
+      send(from.body(), true);
     }
   }
 
@@ -321,12 +325,20 @@
 
   @Override
   public void passPiece(ByteBuf piece) {
+    send(piece, false);
+  }
+
+  private void send(ByteBuf piece, boolean last) {
     int bytes = piece.readableBytes();
+    if (unsent == 0) {
+      movedNanos = inward.now();
+    }
     unsent += bytes;
-    link.data(id, piece, false)
+    link.data(id, piece, last)
         .addListener(
             done -> {
               unsent -= bytes;
+              movedNanos = inward.now();
               if (source != null && unsent <= MOST_UNSENT / 2) {
                 source.pause(false);
               }
@@ -354,6 +366,22 @@
 
   // ---- the end ----
 
+  /** Of a body that comes, all of it has to be there in time; of an answer, each part taken. */
+  @Override
+  public boolean stuckSince(long nanos) {
+    return answered ? unsent > 0 && movedNanos < nanos : !ended && begunNanos < nanos;
+  }
+
+  @Override
+  public void cut() {
+    if (answered) {
+      Log.warn("gateway", site + " does not take its answer: call given up");
+      link.reset(id, Http2Error.CANCEL);
+    } else {
+      answer(SiteHeaders.Result.REFUSED); // Nothing of it has run.
+    }
+  }
+
   @Override
   public void onReset(long code) {
     gone();
--- a/src/main/java/maplehall/gateway/InLink.java
+++ b/src/main/java/maplehall/gateway/InLink.java
@@ -1,39 +1,37 @@
 package maplehall.gateway;
 
-import io.netty.channel.Channel;
 import io.netty.handler.codec.http2.Http2ConnectionDecoder;
 import io.netty.handler.codec.http2.Http2ConnectionEncoder;
 import io.netty.handler.codec.http2.Http2Settings;
-import maplehall.http2.Link;
+import maplehall.http2.ServedLink;
 
 /** One connection of a gateway of another site, with that site's calls on it. */
-final class InLink extends Link {
+final class InLink extends ServedLink {
   /** Peers ask by PING several times a second; one that says nothing for so long has gone. */
   private static final long SILENT_NANOS = 10_000_000_000L;
 
+  /** Looks at all calls within the time that a stuck one is given. */
+  private static final int LOOKS = 8;
+
   private final Inward inward;
-  private final Channel channel;
 
   /** Whose certificate it brought, or null in plain text. */
   private final String peer;
 
-  private int calls;
   private long heardNanos;
-  private boolean leaving;
-  private boolean left;
+  private long lookedNanos;
 
   InLink(
       Http2ConnectionDecoder decoder,
       Http2ConnectionEncoder encoder,
       Http2Settings settings,
       Inward inward,
-      Channel channel,
       String peer) {
     super(decoder, encoder, settings);
     this.inward = inward;
-    this.channel = channel;
     this.peer = peer;
     heardNanos = inward.now();
+    lookedNanos = heardNanos;
   }
 
   String peer() {
@@ -41,42 +39,22 @@
   }
 
   @Override
-  protected Handler opened(int id) {
-    calls++;
+  protected Call begun(int id) {
     return new InCall(inward, this, id);
   }
 
-  void callDone() {
-    calls--;
-    closeIfIdle();
-  }
-
   @Override
   protected void heard() {
     heardNanos = inward.now();
   }
 
+  /** Ends what says nothing, and its calls that have stopped. */
   void tick(long now) {
     if (now - heardNanos > SILENT_NANOS) {
-      channel.close();
-    }
-  }
-
-  /** No new calls; those that are on end by themselves. */
-  void leave() {
-    if (!leaving) {
-      leaving = true;
-      goAwayInOrder(
-          () -> {
-            left = true;
-            closeIfIdle();
-          });
-    }
-  }
-
-  void closeIfIdle() {
-    if (left && calls == 0) {
-      channel.close();
+      context().channel().close();
+    } else if (now - lookedNanos > inward.patienceNanos() / LOOKS) {
+      lookedNanos = now;
+      cutStuck(now - inward.patienceNanos());
     }
   }
 }
--- a/src/main/java/maplehall/gateway/Inward.java
+++ b/src/main/java/maplehall/gateway/Inward.java
@@ -110,8 +110,7 @@
             table.mostStreams(),
             SiteHeaders.MOST_BYTES,
             SiteHeaders.CHANGING,
-            (decoder, encoder, settings) ->
-                new InLink(decoder, encoder, settings, this, channel, peer));
+            (decoder, encoder, settings) -> new InLink(decoder, encoder, settings, this, peer));
     links.add(link);
     channel.closeFuture().addListener(closed -> links.remove(link));
     channel.pipeline().addLast(link);
@@ -131,6 +130,11 @@
     return clock.nowNanos();
   }
 
+  /** For which a call waits for its peer. */
+  long patienceNanos() {
+    return table.patienceNanos();
+  }
+
   Gateway gateway() {
     return gateway;
   }
--- a/src/main/java/maplehall/grpc/ClientLink.java
+++ b/src/main/java/maplehall/grpc/ClientLink.java
@@ -1,18 +1,15 @@
 package maplehall.grpc;
 
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http2.Http2ConnectionDecoder;
 import io.netty.handler.codec.http2.Http2ConnectionEncoder;
 import io.netty.handler.codec.http2.Http2Error;
 import io.netty.handler.codec.http2.Http2Settings;
-import java.util.ArrayList;
-import java.util.List;
-import maplehall.http2.Link;
+import maplehall.http2.ServedLink;
 import maplehall.runtime.Log;
 
 /** One client's connection, with its streams' calls. */
-final class ClientLink extends Link {
+final class ClientLink extends ServedLink {
   /** PING and SETTINGS frames that a connection may send in the time below. */
   private static final int MOST_CONTROL_FRAMES = 200;
 
@@ -22,14 +19,10 @@
   private static final long WRITE_NANOS = 10_000_000_000L;
 
   private final GrpcServer server;
-  private Channel channel;
-  private int calls;
   private int controlFrames;
   private long controlSinceNanos;
   private long idleSinceNanos;
   private long leaveAtNanos;
-  private boolean leaving;
-  private boolean left;
 
   ClientLink(
       Http2ConnectionDecoder decoder,
@@ -40,66 +33,31 @@
     this.server = server;
   }
 
-  /** Its channel is there; it is to be left at the time given. */
-  void accepted(Channel of, long now, long leaveNanos) {
-    channel = of;
+  /** It begins now, and is to be left at the time given. */
+  void accepted(long now, long leaveNanos) {
     controlSinceNanos = now;
     idleSinceNanos = now;
     leaveAtNanos = leaveNanos;
   }
 
   @Override
-  protected Handler opened(int id) {
-    calls++;
+  protected Call begun(int id) {
     return new GrpcCall(server, this, id);
   }
 
-  void callDone() {
+  @Override
+  public void callDone() {
     idleSinceNanos = server.clock().nowNanos();
-    if (--calls == 0 && left) {
-      channel.close();
-    }
+    super.callDone();
   }
 
   /** Ends what is old, idle or stuck. */
   void tick(long now) {
-    boolean idle = calls == 0 && now - idleSinceNanos > server.table().idleMillis() * 1_000_000L;
+    boolean idle = calls() == 0 && now - idleSinceNanos > server.table().idleMillis() * 1_000_000L;
     if (idle || now - leaveAtNanos >= 0) {
       leave();
     }
-    for (GrpcCall call : stuck(now - WRITE_NANOS)) {
-      call.cut();
-    }
-  }
-
-  private List<GrpcCall> stuck(long before) {
-    List<GrpcCall> stuck = new ArrayList<>(0);
-    forEachHandler(
-        handler -> {
-          if (handler instanceof GrpcCall call && call.stuckSince(before)) {
-            stuck.add(call);
-          }
-        });
-    return stuck;
-  }
-
-  /** No new calls; those that are on end by themselves. */
-  void leave() {
-    if (leaving) {
-      return;
-    }
-    leaving = true;
-    goAwayInOrder(
-        () -> {
-          left = true;
-          closeIfIdle();
-        });
-  }
-
-  void closeIfIdle() {
-    if (left && calls == 0) {
-      channel.close();
-    }
+    cutStuck(now - WRITE_NANOS);
   }
 
   @Override
--- a/src/main/java/maplehall/grpc/GrpcCall.java
+++ b/src/main/java/maplehall/grpc/GrpcCall.java
@@ -17,6 +17,7 @@
 import maplehall.border.Payload;
 import maplehall.border.Ticket;
 import maplehall.http2.Link;
+import maplehall.http2.ServedLink;
 import meadowtrack.api.Form;
 import meadowtrack.grpc.Gathering;
 import meadowtrack.grpc.Status;
@@ -26,7 +27,7 @@
  * until it is longer than that: then it goes on to the one attempt that it has, drawn from the
  * client only as fast as the upstream takes it.
  */
-final class GrpcCall implements Link.Handler, Caller, Payload, Patience.Waiting {
+final class GrpcCall implements ServedLink.Call, Caller, Payload, Patience.Waiting {
   private static final String HEALTH = "/grpc.health.v1.Health/";
 
   private final GrpcServer server;
@@ -482,12 +483,13 @@
   }
 
   /** Whether its client has not taken the end of its answer since then. */
-  boolean stuckSince(long nanos) {
+  @Override
+  public boolean stuckSince(long nanos) {
     return answered && unwrittenNanos < nanos;
   }
 
-  /** Gives up a stream whose client does not take what it was sent. */
-  void cut() {
+  @Override
+  public void cut() {
     link.reset(id, Http2Error.CANCEL);
   }
 
--- a/src/main/java/maplehall/grpc/GrpcServer.java
+++ b/src/main/java/maplehall/grpc/GrpcServer.java
@@ -84,8 +84,7 @@
     links.add(link);
     channel.closeFuture().addListener(closed -> links.remove(link));
     long now = clock.nowNanos();
-    link.accepted(
-        channel, now, now + (long) (table.ageMillis() * 1e6 * (0.9 + 0.2 * random.nextDouble())));
+    link.accepted(now, now + (long) (table.ageMillis() * 1e6 * (0.9 + 0.2 * random.nextDouble())));
     channel.pipeline().addLast(link);
     if (draining) {
       link.leave();
--- /dev/null
+++ b/src/main/java/maplehall/http2/ServedLink.java
@@ -0,0 +1,80 @@
+package maplehall.http2;
+
+import io.netty.handler.codec.http2.Http2ConnectionDecoder;
+import io.netty.handler.codec.http2.Http2ConnectionEncoder;
+import io.netty.handler.codec.http2.Http2Settings;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A connection that others began, with their calls on it: left in good order, and rid of calls
+ * whose other side has stopped. Both bounds are needed, as its PINGs may go on all the while.
+ */
+public abstract class ServedLink extends Link {
+  /** A call of the other side. */
+  public interface Call extends Handler {
+    /** Whether it is the other side's turn, and has been since then. */
+    boolean stuckSince(long nanos);
+
+    /** Gives the call up; its stream ends with it. */
+    void cut();
+  }
+
+  private int calls;
+  private boolean leaving;
+  private boolean left;
+
+  protected ServedLink(
+      Http2ConnectionDecoder decoder, Http2ConnectionEncoder encoder, Http2Settings settings) {
+    super(decoder, encoder, settings);
+  }
+
+  /** Whoever takes a call that begins. */
+  protected abstract Call begun(int id);
+
+  @Override
+  protected final Handler opened(int id) {
+    calls++;
+    return begun(id);
+  }
+
+  /** To be called once for each call, when its stream is gone. */
+  public void callDone() {
+    calls--;
+    closeIfIdle();
+  }
+
+  protected final int calls() {
+    return calls;
+  }
+
+  /** No new calls; those that are on end by themselves. */
+  public final void leave() {
+    if (!leaving) {
+      leaving = true;
+      goAwayInOrder(
+          () -> {
+            left = true;
+            closeIfIdle();
+          });
+    }
+  }
+
+  public final void closeIfIdle() {
+    if (left && calls == 0) {
+      context().channel().close();
+    }
+  }
+
+  /** Cuts the calls that are stuck since before then. */
+  protected final void cutStuck(long before) {
+    List<Call> stuck = new ArrayList<>(0); // Cut inside the walk, they would change what is walked.
+    forEachHandler(
+        handler -> {
+          if (handler instanceof Call call && call.stuckSince(before)) {
+            stuck.add(call);
+          }
+        });
+    stuck.forEach(Call::cut);
+  }
+}
--- a/src/test/java/maplehall/gateway/PeerTest.java
+++ b/src/test/java/maplehall/gateway/PeerTest.java
@@ -6,10 +6,12 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http2.DefaultHttp2Headers;
 import io.netty.handler.codec.http2.Http2ConnectionDecoder;
 import io.netty.handler.codec.http2.Http2ConnectionEncoder;
+import io.netty.handler.codec.http2.Http2Error;
 import io.netty.handler.codec.http2.Http2Headers;
 import io.netty.handler.codec.http2.Http2Settings;
 import io.netty.handler.codec.http2.Http2Stream;
@@ -25,6 +27,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import testing.Await;
 
 /** What a gateway makes of what a peer says, and of a client that speaks as if it were one. */
 @Timeout(60)
@@ -33,7 +36,8 @@
 
   @BeforeEach
   void start() throws Exception {
-    sites = new SitesFixture().site("hat-yai", 1, 4, 5).site("bangkok", 1, 4, 5).linked(false);
+    sites = new SitesFixture().site("hat-yai", 1, 4, 5).site("bangkok", 1, 4, 5);
+    sites.with("patience = \"500ms\"").linked(false);
   }
 
   @AfterEach
@@ -49,6 +53,10 @@
 
   private static final class Call implements Link.Handler {
     final CompletableFuture<Http2Headers> answer = new CompletableFuture<>();
+    final CompletableFuture<Long> reset = new CompletableFuture<>();
+
+    /** Whether what comes is used up, so that more may come. */
+    boolean reads = true;
 
     @Override
     public void onHeaders(Http2Headers headers, boolean last) {
@@ -57,11 +65,12 @@
 
     @Override
     public int onData(ByteBuf data, boolean last) {
-      return data.readableBytes();
+      return reads ? data.readableBytes() : 0;
     }
 
     @Override
     public void onReset(long code) {
+      reset.complete(code);
       answer.complete(new DefaultHttp2Headers().status("reset"));
     }
 
@@ -84,20 +93,37 @@
         .set("x-site-left", "2000000");
   }
 
-  private Http2Headers ask(Http2Headers headers) throws Exception {
+  private static Raw connect(SitesFixture sites) throws Exception {
     Raw raw = Link.build(false, 0, 16384, Set.of(), Raw::new);
-    var channel =
-        new Bootstrap()
-            .group(sites.group)
-            .channel(NioSocketChannel.class)
-            .handler(raw)
-            .connect(sites.site("bangkok").listen())
-            .sync()
-            .channel();
+    new Bootstrap()
+        .group(sites.group)
+        .channel(NioSocketChannel.class)
+        .handler(raw)
+        .connect(sites.site("bangkok").listen())
+        .sync();
+    return raw;
+  }
+
+  /** Begins a call, with a first piece of its body unless that is null. */
+  private static Call begin(Raw raw, Http2Headers headers, byte[] body, boolean reads) {
     Call call = new Call();
-    channel.eventLoop().execute(() -> raw.open(call, headers, true));
-    Http2Headers answer = call.answer.get(30, TimeUnit.SECONDS);
-    channel.close();
+    call.reads = reads;
+    raw.context()
+        .executor()
+        .execute(
+            () -> {
+              int id = raw.open(call, headers, body == null);
+              if (body != null) {
+                raw.data(id, Unpooled.wrappedBuffer(body), false);
+              }
+            });
+    return call;
+  }
+
+  private Http2Headers ask(Http2Headers headers) throws Exception {
+    Raw raw = connect(sites);
+    Http2Headers answer = begin(raw, headers, null, true).answer.get(30, TimeUnit.SECONDS);
+    raw.close();
     return answer;
   }
 
@@ -157,6 +183,41 @@
     assertEquals(0, sites.site("bangkok").received());
   }
 
+  private static Http2Headers publish() {
+    return good().method("POST").set("x-class", "publish").set("x-site-effect", "unsafe");
+  }
+
+  /** Its PINGs and other calls may go on all the while. */
+  @Test
+  void aBodyThatStopsIsRefusedAndItsLinkStays() throws Exception {
+    Raw raw = connect(sites);
+    Call call = begin(raw, publish(), new byte[10], true);
+    assertEquals("refused", call.answer.get(30, TimeUnit.SECONDS).get("x-site-result").toString());
+    assertEquals(0, sites.site("bangkok").received());
+    Http2Headers next = good().set("x-request-id", "r-2");
+    Http2Headers answer = begin(raw, next, null, true).answer.get(30, TimeUnit.SECONDS);
+    assertEquals("200", answer.status().toString());
+    raw.close();
+  }
+
+  @Test
+  void anAnswerThatIsNotTakenIsGivenUpAndItsLinkStays() throws Exception {
+    try (LongServer server = new LongServer(4 << 20);
+        SitesFixture own = new SitesFixture().site("hat-yai", 1, 4, 5).site("bangkok", 0, 4, 5)) {
+      own.site("bangkok").line(server.line("long"));
+      own.with("patience = \"500ms\"").linked(false);
+      Raw raw = connect(own);
+      Call stuck = begin(raw, good(), null, false);
+      assertEquals("200", stuck.answer.get(30, TimeUnit.SECONDS).status().toString());
+      assertEquals(Http2Error.CANCEL.code(), stuck.reset.get(30, TimeUnit.SECONDS));
+      Await.until("nothing is held", () -> own.site("bangkok").live() == 0);
+      Http2Headers next = good().set("x-request-id", "r-2");
+      Http2Headers answer = begin(raw, next, null, true).answer.get(30, TimeUnit.SECONDS);
+      assertEquals("200", answer.status().toString());
+      raw.close();
+    }
+  }
+
   @Test
   void twoTrailsAreNone() throws Exception {
     assertEquals("503", ask(good().add("x-site-trail", "1;hat-yai")).status().toString());
--- a/src/test/java/maplehall/gateway/SitesFixture.java
+++ b/src/test/java/maplehall/gateway/SitesFixture.java
@@ -35,6 +35,7 @@
   private final Path folder = Files.createTempDirectory("heathswitch-sites-");
   private Authority authority;
   private long seed = 1;
+  private String more = "";
 
   /**
    * One gateway of one site. A second one of a site has a name of its own here, and its servers.
@@ -111,8 +112,12 @@
       Await.until("links of " + key, () -> links().stream().allMatch(each));
     }
 
-    int live() throws Exception {
-      return node.node().loop().submit(() -> node.node().dispatcher().live()).get();
+    int live() {
+      try {
+        return node.node().loop().submit(() -> node.node().dispatcher().live()).get();
+      } catch (Exception e) {
+        throw new AssertionError(e);
+      }
     }
 
     OpenLoop load(double perSecond, long deadlineMillis, Kind... kinds) {
@@ -156,6 +161,7 @@
       } else {
         table.append("insecure = true\n");
       }
+      table.append(more);
       Map<String, List<String>> others = new LinkedHashMap<>();
       for (Site other : sites.values()) {
         if (!other.name.equals(name)) {
@@ -209,6 +215,12 @@
     return this;
   }
 
+  /** A further line of every site's table [gateway]. */
+  SitesFixture with(String line) {
+    more = line + '\n';
+    return this;
+  }
+
   Path folder() {
     return folder;
   }
