Explore every order of events with another place to send to

The explorer did not know the seam between the dispatcher and the gateway (Elsewhere). Six worlds have another place now: callers of the first kind may leave for it, those of the second have come from there. Five properties more: sent away only if nothing here is out or may have run, never sent on, at most twice, not home again, and the place told once of each end. Seven faults put into the seam's lines, each found; no violation in today's code.

--- a/src/main/java/loadrig/explore/Explorer.java
+++ b/src/main/java/loadrig/explore/Explorer.java
@@ -54,12 +54,15 @@
       for (Effect b : Effect.values()) {
         for (int servers = 1; servers <= 2; servers++) {
           for (int tier = 0; tier <= 1; tier++) {
-            worlds.add(new World.Setup(a, b, Form.HTTP1, servers, tier, true));
+            worlds.add(new World.Setup(a, b, Form.HTTP1, servers, tier, true, false));
           }
         }
       }
-      worlds.add(new World.Setup(a, a, Form.HTTP1, 2, 0, false));
-      worlds.add(new World.Setup(a, a, Form.GRPC_STREAM, 2, 0, true));
+      worlds.add(new World.Setup(a, a, Form.HTTP1, 2, 0, false, false));
+      worlds.add(new World.Setup(a, a, Form.GRPC_STREAM, 2, 0, true, false));
+      for (int tier = 0; tier <= 1; tier++) {
+        worlds.add(new World.Setup(a, a, Form.HTTP1, 1, tier, true, true));
+      }
     }
     return worlds;
   }
--- a/src/main/java/loadrig/explore/Mutant.java
+++ b/src/main/java/loadrig/explore/Mutant.java
@@ -57,6 +57,17 @@
               "    answered(request);\n    request.client.refuse",
               "    request.client.refuse"),
           new Mutant(DISPATCHER, "if (!attempt.open || request.over) {", "if (!attempt.open) {"),
+          new Mutant(DISPATCHER, " || !request.client.mayLeave()) {", ") {"),
+          new Mutant(DISPATCHER, " || !request.neverRan || ", " || "),
+          new Mutant(
+              DISPATCHER, "outcome == Outcome.RESET && safe(request)", "outcome == Outcome.RESET"),
+          new Mutant(DISPATCHER, "    request.openAttempts--;\n    elsewhere", "    elsewhere"),
+          new Mutant(DISPATCHER, "    request.awayTries++;\n", ""),
+          new Mutant(DISPATCHER, "Outcome.OK && !attempt.begun)", "Outcome.OK)"),
+          new Mutant(
+              DISPATCHER,
+              "sentAway(request)) {\n      balancer.onGone(clock.nowNanos(), request.id);",
+              "sentAway(request)) {"),
           new Mutant(LIVE, "      lastError.release();\n", ""),
           new Mutant(LIVE, "    lastError = null;\n", ""),
           new Mutant(LIVE, "return over && openAttempts == 0;", "return over;"),
--- a/src/main/java/loadrig/explore/Property.java
+++ b/src/main/java/loadrig/explore/Property.java
@@ -40,6 +40,16 @@
   CALLED_OFF,
   /** An attempt whose answer goes on is not called off while its caller waits. */
   GOES_ON,
+  /** Sent to another place only if no attempt here is out or may have run. */
+  AWAY_AFTER_RUN,
+  /** What came from another place is served here or nowhere. */
+  SENT_ON,
+  /** No more than two attempts elsewhere. */
+  TOO_OFTEN_AWAY,
+  /** Once sent elsewhere, a request is sent to no server here. */
+  HOME_AGAIN,
+  /** The place is told once of the end of each attempt there, and of each request served here. */
+  AWAY_TOLD,
   /** No exception out of an event. */
   NO_EXCEPTION
 }
--- a/src/main/java/loadrig/explore/Step.java
+++ b/src/main/java/loadrig/explore/Step.java
@@ -29,5 +29,7 @@
   /** From now on no attempt gets a descriptor. */
   SHORTAGE,
   /** From now on attempts fail inside the call that starts them. */
-  FAILS_AT_ONCE
+  FAILS_AT_ONCE,
+  /** From now on there is no other place to send to. */
+  NOWHERE_ELSE
 }
--- a/src/main/java/loadrig/explore/Walks.java
+++ b/src/main/java/loadrig/explore/Walks.java
@@ -24,7 +24,8 @@
             FORMS[random.nextInt(FORMS.length)],
             3 + random.nextInt(7),
             random.nextInt(2),
-            random.nextInt(4) > 0);
+            random.nextInt(4) > 0,
+            random.nextInt(3) == 0);
     World world = new World(setup);
     List<Step> played = new ArrayList<>();
     Step[] all = Step.values();
--- a/src/main/java/loadrig/explore/World.java
+++ b/src/main/java/loadrig/explore/World.java
@@ -12,6 +12,7 @@
 import maplehall.border.Ticket;
 import maplehall.border.Upstream;
 import maplehall.dispatch.Dispatcher;
+import maplehall.dispatch.Elsewhere;
 import maplehall.dispatch.Member;
 import maplehall.runtime.Clock;
 import meadowtrack.api.Form;
@@ -32,10 +33,14 @@
   private static final long KEY_WINDOW = 2000 * MS;
   private static final int MOST_TRIES = 3;
 
+  /** In place of a server's number. */
+  private static final int AWAY = -1;
+
   /**
    * What stays the same through a sequence.
    *
    * @param tier 0 refuses for want of room at once, deeper ones wait
+   * @param away whether there is another place, to which requests of the second kind may not go
    */
   public record Setup(
       RequestClass.Effect effectA,
@@ -43,7 +48,8 @@
       Form form,
       int servers,
       int tier,
-      boolean cancel) {}
+      boolean cancel,
+      boolean away) {}
 
   private final Setup setup;
   private final VirtualLoop loop = new VirtualLoop();
@@ -55,6 +61,13 @@
   private final long[] started;
   private boolean shortage;
   private boolean failsAtOnce;
+  private boolean nowhereElse;
+
+  /** Attempts that the other place was chosen for and has not been told the end of. */
+  private int awayOut;
+
+  /** Requests that were served here, and of which the other place has not been told. */
+  private int servedUntold;
 
   public World(Setup setup) {
     this.setup = setup;
@@ -76,6 +89,9 @@
             new Settings.Obligations(
                 20 * MS, 1000 * MS, 10_000 * MS, 0.15, 1000 * MS, 2.5, 2000 * MS));
     dispatcher = new Dispatcher(loop, new Clock(loop::now), settings, 7);
+    if (setup.away()) {
+      dispatcher.overflow(new Away());
+    }
     dispatcher.start(new NoDiscovery(), members());
   }
 
@@ -104,6 +120,42 @@
 
   // ---- what the world is made of ----
 
+  /** Another place, which takes whatever it is given as long as there is one. */
+  private final class Away implements Elsewhere {
+    private static final int MOST = 2;
+
+    private final Upstream place = new Upstream(-1, "far");
+
+    @Override
+    public Upstream choose(RequestClass type, Payload payload, long leftNanos, int tries) {
+      if (nowhereElse || tries >= MOST || leftNanos <= 0) {
+        return null;
+      }
+      awayOut++;
+      return place;
+    }
+
+    @Override
+    public boolean start(Attempt attempt, RequestClass type, Payload payload) {
+      return ((Request) payload).startAway(attempt);
+    }
+
+    @Override
+    public void ended(Upstream at, RequestClass type, Outcome outcome, long tookNanos) {
+      if (--awayOut < 0) {
+        broken.add(Property.AWAY_TOLD);
+      }
+    }
+
+    @Override
+    public void refusedHere(boolean own) {}
+
+    @Override
+    public void servedHere(RequestClass type, long tookNanos) {
+      servedUntold--;
+    }
+  }
+
   /** One request, its caller and its payload. */
   private final class Request implements Caller, Payload {
     final boolean first;
@@ -145,12 +197,19 @@
       ticket = live;
     }
 
+    @Override
+    public boolean mayLeave() {
+      return first;
+    }
+
     @Override
     public void serve(Answer answer) {
       answered();
       Reply reply = (Reply) answer;
       if (reply == null || reply.request != this) {
         broken.add(Property.OWN_ANSWER);
+      } else if (reply.here) {
+        servedUntold++;
       }
       release(answer);
     }
@@ -179,14 +238,49 @@
       }
     }
 
-    @Override
-    public boolean start(Attempt attempt) {
+    private boolean startAway(Attempt attempt) {
+      soundToSend();
+      if (!first) {
+        broken.add(Property.SENT_ON);
+      }
+      if (calls.stream().filter(call -> call.server == AWAY).count() >= Away.MOST) {
+        broken.add(Property.TOO_OFTEN_AWAY);
+      }
+      for (Call call : calls) {
+        boolean repeats = call.server == AWAY && call.over && effect == RequestClass.Effect.SAFE;
+        if (!repeats && (!call.over || call.mayHaveRun)) {
+          broken.add(Property.AWAY_AFTER_RUN);
+        }
+      }
+      return !shortage && begin(attempt, AWAY);
+    }
+
+    private void soundToSend() {
       if (over()) {
         broken.add(Property.SENT_AFTER_ANSWER);
       }
       if (loop.now() >= deadline) {
         broken.add(Property.SENT_LATE);
       }
+    }
+
+    private boolean begin(Attempt attempt, int server) {
+      Call call = new Call(this, attempt, server);
+      calls.add(call);
+      World.this.calls.add(call);
+      attempt.carriedBy(call);
+      if (failsAtOnce) {
+        call.end(Outcome.CONNECT_FAILED, false);
+      }
+      return true;
+    }
+
+    @Override
+    public boolean start(Attempt attempt) {
+      soundToSend();
+      if (calls.stream().anyMatch(call -> call.server == AWAY)) {
+        broken.add(Property.HOME_AGAIN);
+      }
       Upstream upstream = attempt.upstream();
       int server = upstream.name.charAt(1) - '0';
       if (health[server] != Health.READY) {
@@ -211,14 +305,7 @@
         return false;
       }
       upstream.attempts++;
-      Call call = new Call(this, attempt, server);
-      calls.add(call);
-      World.this.calls.add(call);
-      attempt.carriedBy(call);
-      if (failsAtOnce) {
-        call.end(Outcome.CONNECT_FAILED, false);
-      }
-      return true;
+      return begin(attempt, server);
     }
 
     @Override
@@ -230,10 +317,12 @@
   /** An answer that says whose it is. */
   private final class Reply implements Answer {
     final Request request;
+    final boolean here;
     int released;
 
-    Reply(Request request) {
+    Reply(Request request, boolean here) {
       this.request = request;
+      this.here = here;
       replies.add(this);
     }
 
@@ -265,7 +354,7 @@
       over = true;
       mayHaveRun = !outcome.neverRan();
       boolean reply = withAnswer || outcome == Outcome.OK;
-      attempt.ended(outcome, reply ? new Reply(request) : null);
+      attempt.ended(outcome, reply ? new Reply(request, server != AWAY) : null);
     }
 
     @Override
@@ -321,6 +410,7 @@
       case RELIST_ONE -> health[0] != Health.READY;
       case SHORTAGE -> !shortage;
       case FAILS_AT_ONCE -> !failsAtOnce && !shortage;
+      case NOWHERE_ELSE -> setup.away() && !nowhereElse;
     };
   }
 
@@ -352,9 +442,10 @@
         }
         case SHORTAGE -> shortage = true;
         case FAILS_AT_ONCE -> failsAtOnce = true;
+        case NOWHERE_ELSE -> nowhereElse = true;
       }
       loop.settle();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | StackOverflowError e) { // The second is an order without an end.
       broken.add(Property.NO_EXCEPTION);
     }
     for (Call call : calls) {
@@ -377,6 +468,7 @@
     if (call.attempt.begun()) {
       request.begun = true;
       call.passing = true;
+      servedUntold += call.server == AWAY ? 0 : 1;
       if (call.over) {
         broken.add(Property.GOES_ON);
       }
@@ -389,7 +481,7 @@
 
   private void late() {
     Call ended = calls.stream().filter(call -> call.over).findFirst().orElseThrow();
-    ended.attempt.ended(Outcome.OK, new Reply(ended.request));
+    ended.attempt.ended(Outcome.OK, new Reply(ended.request, true));
   }
 
   private void gone(Request request) {
@@ -442,6 +534,9 @@
     if (dispatcher.loads(health.length).values().stream().anyMatch(load -> load[0] != 0)) {
       broken.add(Property.ATTEMPT_LEFT);
     }
+    if (awayOut != 0 || setup.away() && servedUntold != 0) {
+      broken.add(Property.AWAY_TOLD);
+    }
     String figures = dispatcher.figures();
     if (dispatcher.live() != 0
         || !figures.startsWith("entry 0 of")
--- a/src/test/java/loadrig/explore/ExplorerTest.java
+++ b/src/test/java/loadrig/explore/ExplorerTest.java
@@ -49,7 +49,7 @@
     assertEquals(
         Set.of(),
         Explorer.play(
-            new World.Setup(Effect.UNSAFE, Effect.SAFE, Form.HTTP1, 2, 0, true),
+            new World.Setup(Effect.UNSAFE, Effect.SAFE, Form.HTTP1, 2, 0, true, false),
             List.of(Step.ASK_A, Step.RESET, Step.ASK_B, Step.DEADLINE)));
   }
 
