Tell from chance whether a near-full site fares worse for the gateway

near_full_worst_change was one mean over three rounds; with losses in bursts it could not be told from chance. measure gateway plays ten rounds in turn now and says of the change its standard error, and how many sites fare worse by more than three of them (near_full_worst_error, near_full_sites_worse).

--- a/src/main/java/loadrig/measure/GatewayMeasurement.java
+++ b/src/main/java/loadrig/measure/GatewayMeasurement.java
@@ -44,6 +44,9 @@
   private static final double EASY = 0.6;
   private static final double NEAR_FULL = 0.97;
 
+  /** Standard errors by which a site has to have fared worse before chance is ruled out. */
+  private static final double CERTAIN_ERRORS = 3;
+
   /** From the choice to send a call to its work elsewhere: the way, and two balancers. */
   private static final long SENT_BEFORE_NANOS = 9_000_000L;
 
@@ -62,7 +65,7 @@
     long unit = brief ? 2000 : 15_000;
     try {
       start(folder);
-      play(unit, brief ? 1 : 3, figures);
+      play(unit, brief ? 2 : 10, figures);
     } finally {
       for (SiteRig site : sites) {
         site.close();
@@ -305,46 +308,43 @@
   /** The others have hardly any room: whether they serve less of their own for the first. */
   private void nearFull(long unit, int rounds, Figures figures) throws Exception {
     SiteRig first = sites.get(0);
-    double[] alone = new double[NAMES.size()];
-    double[] together = new double[NAMES.size()];
+    Rounds alone = new Rounds(NAMES.size());
+    Rounds together = new Rounds(NAMES.size());
+    Rounds change = new Rounds(NAMES.size());
     long crossed = 0;
     long calls = 0;
     for (int round = 0; round < rounds; round++) { // In turn, as a machine's speed drifts.
       Figures.progress("the other sites near full, alone and with the gateway");
       first.alone(true);
-      add(alone, phase(1.4, NEAR_FULL, unit), rounds);
+      double[] without = phase(1.4, NEAR_FULL, unit).ownServed();
       first.alone(false);
       Phase phase = phase(1.4, NEAR_FULL, unit);
-      add(together, phase, rounds);
+      alone.add(without);
+      together.add(phase.ownServed());
+      change.addDifference(phase.ownServed(), without);
       crossed += phase.crossed();
       calls += phase.calls();
     }
-    double worst = 1;
-    for (int i = 0; i < alone.length; i++) {
-      worst = Math.min(worst, together[i] - alone[i]);
-    }
+    int worst = change.least();
     figures
-        .add("near_full_own_alone", mean(alone))
-        .add("near_full_own_gateway", mean(together))
-        .add("near_full_worst_change", four(worst))
-        .add("near_full_home_alone", four(alone[0]))
-        .add("near_full_home_gateway", four(together[0]))
+        .add("near_full_own_alone", others(alone))
+        .add("near_full_own_gateway", others(together))
+        .add("near_full_worst_change", four(change.mean(worst)))
+        .add("near_full_worst_error", four(change.error(worst)))
+        .add("near_full_sites_worse", change.below(-CERTAIN_ERRORS))
+        .add("near_full_home_alone", four(alone.mean(0)))
+        .add("near_full_home_gateway", four(together.mean(0)))
         .add("near_full_overflow_share", four((double) crossed / Math.max(1, calls)))
+        .add("near_full_rounds", rounds)
         .add("near_full_calls_of_a_site", Math.round(NEAR_FULL * CAPACITY * unit / 1000 * rounds));
   }
 
-  private static void add(double[] sums, Phase phase, int rounds) {
-    for (int i = 0; i < sums.length; i++) {
-      sums[i] += phase.ownServed()[i] / rounds;
-    }
-  }
-
   /** Of the sites but the first. */
-  private static double mean(double[] shares) {
+  private static double others(Rounds shares) {
     double sum = 0;
-    for (int i = 1; i < shares.length; i++) {
-      sum += shares[i];
+    for (int i = 1; i < NAMES.size(); i++) {
+      sum += shares.mean(i);
     }
-    return four(sum / (shares.length - 1));
+    return four(sum / (NAMES.size() - 1));
   }
 }
