--- a/src/main/java/loadrig/balancer/BalancerProcess.java
+++ b/src/main/java/loadrig/balancer/BalancerProcess.java
@@ -49,7 +49,7 @@
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.addAll(flags);
     command.add("-cp");
-    command.add(System.getProperty("heathswitch.jar", System.getProperty("java.class.path")));
+    command.add(System.getProperty("java.class.path"));
     command.add("maplehall.Main");
     command.add("serve");
     command.add("--config");
@@ -127,6 +127,14 @@
     }
   }
 
+  /** Sends it a signal by its name, such as STOP or CONT. */
+  public void signal(String name) throws IOException, InterruptedException {
+    Process kill = new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start();
+    if (kill.waitFor() != 0) {
+      throw new IOException("no signal " + name + " to process " + process.pid());
+    }
+  }
+
   /** Ends it without its drain. */
   public void kill() {
     process.destroyForcibly();
--- /dev/null
+++ b/src/main/java/loadrig/fleet/Fleet.java
@@ -0,0 +1,248 @@
+package loadrig.fleet;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import loadrig.balancer.BalancerProcess;
+import loadrig.balancer.Workplace;
+import loadrig.client.Kind;
+import loadrig.client.Ledger;
+import loadrig.client.OpenLoop;
+import loadrig.server.Shape;
+import loadrig.server.StandIn;
+import loadrig.site.DelayLine;
+import meadowtrack.members.ListedServer;
+
+/** Instances of the program before stand-in servers, with every way between instances a relay. */
+public final class Fleet implements AutoCloseable {
+  private static final InetSocketAddress ANY = new InetSocketAddress("127.0.0.1", 0);
+  private static final List<String> FLAGS =
+      List.of("-XX:+UseSerialGC", "-Xmx160m", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData");
+  private static final List<Kind> KINDS =
+      List.of(Kind.safe("view", "school", 0.8), Kind.unsafe("publish", "school", 0.2));
+
+  private final NioEventLoopGroup servers = new NioEventLoopGroup(2);
+  private final NioEventLoopGroup between = new NioEventLoopGroup(2);
+  private final NioEventLoopGroup clients = new NioEventLoopGroup(2);
+  private final History history = new History();
+  private final Ledger ledger = new Ledger();
+  private final List<StandIn> standIns = new ArrayList<>();
+  private final Map<String, Node> nodes = new LinkedHashMap<>();
+  private final Map<String, Integer> cells = new HashMap<>();
+  private long seed;
+
+  /** An empty one; the seed draws delays and loads. */
+  public Fleet(long seed) {
+    this.seed = seed;
+  }
+
+  /** Adds servers of a kind, each in a cell of its own. */
+  public Fleet servers(int count, String kind, Shape shape) throws InterruptedException {
+    for (int i = 0; i < count; i++) {
+      String name = kind + '-' + (i + 1);
+      StandIn server = new StandIn(servers.next(), name, shape, seed++, history);
+      standIns.add(server.onRun(ledger::ran).start(ANY));
+      cells.put(name, standIns.size());
+    }
+    return this;
+  }
+
+  /**
+   * Starts instances and returns when all of them serve.
+   *
+   * @param voters how many of them vote, from the first on
+   */
+  public Fleet start(int count, int voters, Terms terms) throws Exception {
+    List<InetSocketAddress> agreements = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      agreements.add(BalancerProcess.freeAddress());
+    }
+    for (int i = 0; i < count; i++) {
+      Map<String, DelayLine> ways = new LinkedHashMap<>();
+      for (int j = 0; j < count; j++) {
+        if (j != i) {
+          ways.put(name(j), new DelayLine(between.next(), agreements.get(j), 0, 0, seed++).start());
+        }
+      }
+      Node node =
+          new Node(
+              name(i),
+              BalancerProcess.freeAddress(),
+              BalancerProcess.freeAddress(),
+              agreements.get(i),
+              new Workplace("fleet"),
+              ways,
+              FLAGS);
+      nodes.put(node.name, node);
+      list(node, standIns);
+      configure(node, voters, terms);
+    }
+    all(Node::start);
+    for (Node node : nodes.values()) {
+      while (!node.serves()) {
+        if (!node.alive()) {
+          throw new IOException(node.name + " has ended:\n" + Files.readString(node.log()));
+        }
+        Thread.sleep(20);
+      }
+    }
+    return this;
+  }
+
+  private static String name(int index) {
+    return "edge-" + (index + 1);
+  }
+
+  /** Writes an instance's list of servers, as a whole. */
+  public void list(Node node, List<StandIn> listed) throws IOException {
+    List<ListedServer> lines = new ArrayList<>();
+    for (StandIn server : listed) {
+      String kind = server.name().substring(0, server.name().lastIndexOf('-'));
+      ListedServer line = Workplace.listed(server, "a", kind, 1);
+      lines.add(
+          new ListedServer(
+              line.id(), line.endpoint(), line.zone(), kind, cells.get(server.name()), 1, true));
+    }
+    Path next = node.workplace.folder().resolve("next");
+    Files.writeString(next, Workplace.text(lines));
+    Files.move(next, node.workplace.members(), StandardCopyOption.ATOMIC_MOVE);
+  }
+
+  /** Writes an instance's configuration; it is read at its next start. */
+  public void configure(Node node, int voters, Terms terms) throws IOException {
+    node.config = node.workplace.configure(node.listen, node.admin, 1024, "most_removed = 1.0");
+    StringBuilder table = new StringBuilder();
+    table.append("[work]\ninstance = \"").append(node.name).append("\"\nfolder = \"work\"\n");
+    table.append("listen = ").append(quoted(node.agreement));
+    table.append("\nwhen_cut_off = \"").append(terms.stops() ? "stop" : "serve");
+    table.append("\"\nstopping = \"300ms\"\n[work.rules]\n");
+    table.append("version = ").append(terms.version());
+    table.append("\nlease = \"").append(terms.leaseMillis()).append("ms\"\n");
+    table.append("margin = \"").append(terms.marginMillis()).append("ms\"\n");
+    table.append("most_out = ").append(terms.mostOut()).append("\nmost_out_in_cell = 1\n");
+    table.append(terms.text());
+    int at = 0;
+    for (int i = 0; i <= node.ways.size(); i++) {
+      InetSocketAddress address =
+          name(i).equals(node.name) ? node.agreement : node.ways.get(name(i)).address();
+      table.append("[[work.peer]]\nname = \"").append(name(i)).append("\"\naddress = ");
+      table.append(quoted(address)).append("\nvotes = ").append(at++ < voters).append('\n');
+    }
+    Files.writeString(node.config, table, StandardOpenOption.APPEND);
+  }
+
+  private static String quoted(InetSocketAddress address) {
+    return "\"127.0.0.1:" + address.getPort() + '"';
+  }
+
+  /** What is done to a node. */
+  public interface Deed {
+    void to(Node node) throws Exception;
+  }
+
+  /** Does the same to all at once. */
+  public void all(Deed deed) throws Exception {
+    ExecutorService each = Executors.newFixedThreadPool(nodes.size());
+    try {
+      List<Callable<Void>> deeds = new ArrayList<>();
+      for (Node node : nodes.values()) {
+        deeds.add(
+            () -> {
+              deed.to(node);
+              return null;
+            });
+      }
+      for (Future<Void> done : each.invokeAll(deeds)) {
+        done.get();
+      }
+    } finally {
+      each.shutdown();
+    }
+  }
+
+  public Node node(int number) {
+    return nodes.get(name(number - 1));
+  }
+
+  public List<Node> nodes() {
+    return List.copyOf(nodes.values());
+  }
+
+  public List<StandIn> servers() {
+    return List.copyOf(standIns);
+  }
+
+  public History history() {
+    return history;
+  }
+
+  public Ledger ledger() {
+    return ledger;
+  }
+
+  /** Breaks every way between two sides, both ways, until they are mended. */
+  public void split(List<Node> one, List<Node> other, boolean broken) {
+    for (Node from : one) {
+      for (Node to : other) {
+        from.ways.get(to.name).cut(broken);
+        to.ways.get(from.name).cut(broken);
+      }
+    }
+  }
+
+  /** Connections stay open and nothing comes through: of what a node says, of what it hears. */
+  public void mute(Node node, boolean says, boolean hears) {
+    node.ways.values().forEach(way -> way.mute(says, hears));
+    for (Node other : nodes.values()) {
+      if (other != node) {
+        other.ways.get(node.name).mute(hears, says);
+      }
+    }
+  }
+
+  /** Whoever leads, as the first says that answers, or null. */
+  public Node leader() {
+    for (Node node : nodes.values()) {
+      try {
+        Node leader = nodes.get(String.valueOf(node.get("work").get("leader")));
+        if (leader != null) {
+          return leader;
+        }
+      } catch (IOException e) {
+        // It does not answer; the next may.
+      }
+    }
+    return null;
+  }
+
+  /** A load on one instance. */
+  public OpenLoop load(Node node, double perSecond) {
+    return new OpenLoop(clients.next(), node.listen, KINDS, perSecond, 3000, 200, seed++, ledger)
+        .start();
+  }
+
+  @Override
+  public void close() throws IOException {
+    for (Node node : nodes.values()) {
+      node.close();
+    }
+    standIns.forEach(StandIn::close);
+    for (NioEventLoopGroup group : List.of(servers, between, clients)) {
+      group.shutdownGracefully(0, 2, TimeUnit.SECONDS);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/maplehall/agreement/Agreement.java
@@ -0,0 +1,221 @@
+package maplehall.agreement;
+
+import static java.util.concurrent.TimeUnit.MILLISECONDS;
+import static java.util.concurrent.TimeUnit.SECONDS;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ThreadPoolExecutor;
+import org.apache.ratis.client.RaftClient;
+import org.apache.ratis.client.RaftClientConfigKeys;
+import org.apache.ratis.conf.Parameters;
+import org.apache.ratis.conf.RaftProperties;
+import org.apache.ratis.netty.NettyConfigKeys;
+import org.apache.ratis.netty.NettyFactory;
+import org.apache.ratis.proto.RaftProtos.RaftPeerRole;
+import org.apache.ratis.protocol.ClientId;
+import org.apache.ratis.protocol.Message;
+import org.apache.ratis.protocol.RaftClientReply;
+import org.apache.ratis.protocol.RaftGroup;
+import org.apache.ratis.protocol.RaftGroupId;
+import org.apache.ratis.protocol.RaftPeer;
+import org.apache.ratis.protocol.RaftPeerId;
+import org.apache.ratis.retry.RetryPolicies;
+import org.apache.ratis.server.RaftServer;
+import org.apache.ratis.server.RaftServerConfigKeys;
+import org.apache.ratis.server.storage.RaftStorage;
+import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
+import org.apache.ratis.util.SizeInBytes;
+import org.apache.ratis.util.TimeDuration;
+
+/**
+ * This instance's part of the log. Entries may be submitted from any thread, at any instance; none
+ * of it runs on an event loop that serves requests.
+ */
+public final class Agreement implements AutoCloseable {
+  /** Greatest size of an entry; an order of ten thousand machines has about half a megabyte. */
+  public static final int MOST_ENTRY_BYTES = 2 << 20;
+
+  /** Entries of this instance that wait for their answer; one more is refused. */
+  private static final int MOST_WAITING = 1024;
+
+  private static final int SUBMITTERS = 4;
+
+  /**
+   * Whoever led counts as lost after a time between these, drawn anew each time; both well above a
+   * collection of garbage and a busy disk, and so that a new one leads within two seconds.
+   */
+  private static final long ELECTION_FROM_MILLIS = 500;
+
+  private static final long ELECTION_TO_MILLIS = 900;
+
+  private static final long REQUEST_MILLIS = 700;
+  private static final int TRIES = 40;
+  private static final long BETWEEN_TRIES_MILLIS = 50;
+
+  /** Entries between two snapshots; the log before the last one is not kept. */
+  private static final long SNAPSHOT_ENTRIES = 20_000;
+
+  /** All logs of one fleet have one name: two fleets never meet at one address. */
+  private static final RaftGroupId GROUP =
+      RaftGroupId.valueOf(UUID.fromString("6c1d2a04-7c0e-4c4b-9d53-2b8f5b7c9a11"));
+
+  private final RaftServer server;
+  private final RaftClient client;
+  private final LogMachine machine;
+  private final ThreadPoolExecutor submitters;
+
+  /**
+   * Opens the log; {@link #start} must follow.
+   *
+   * @param self the name of this instance, one of the peers
+   * @param listen where others reach it
+   * @param folder of this instance alone; made if it is not there
+   */
+  public Agreement(
+      String self, InetSocketAddress listen, List<Peer> peers, Path folder, Replica replica)
+      throws IOException {
+    Files.createDirectories(folder);
+    machine = new LogMachine(replica);
+    RaftGroup group = group(peers);
+    Parameters parameters = new Parameters();
+    parameters.put(Ways.PEERS, List.copyOf(group.getPeers()), List.class);
+    RaftProperties settings = new RaftProperties();
+    settings.set("raft.rpc.type", Ways.class.getName());
+    NettyConfigKeys.Server.setHost(settings, listen.getAddress().getHostAddress());
+    NettyConfigKeys.Server.setPort(settings, listen.getPort());
+    RaftServerConfigKeys.setStorageDir(settings, List.of(folder.toFile()));
+    RaftServerConfigKeys.Rpc.setTimeoutMin(settings, millis(ELECTION_FROM_MILLIS));
+    RaftServerConfigKeys.Rpc.setTimeoutMax(settings, millis(ELECTION_TO_MILLIS));
+    RaftServerConfigKeys.Rpc.setRequestTimeout(settings, millis(REQUEST_MILLIS));
+    RaftServerConfigKeys.Log.setSegmentSizeMax(settings, SizeInBytes.valueOf("4MB"));
+    RaftServerConfigKeys.Log.setPreallocatedSize(settings, SizeInBytes.valueOf("64KB"));
+    RaftServerConfigKeys.Log.setSegmentCacheNumMax(settings, 2);
+    RaftServerConfigKeys.Log.setCorruptionPolicy(
+        settings, RaftServerConfigKeys.Log.CorruptionPolicy.WARN_AND_RETURN);
+    RaftServerConfigKeys.Log.setPurgeUptoSnapshotIndex(settings, true);
+    RaftServerConfigKeys.Log.Appender.setBufferByteLimit(settings, SizeInBytes.valueOf("4MB"));
+    RaftServerConfigKeys.Snapshot.setAutoTriggerEnabled(settings, true);
+    RaftServerConfigKeys.Snapshot.setAutoTriggerThreshold(settings, SNAPSHOT_ENTRIES);
+    RaftServerConfigKeys.Snapshot.setRetentionFileNum(settings, 2);
+    server =
+        RaftServer.newBuilder()
+            .setServerId(RaftPeerId.valueOf(self))
+            .setGroup(group)
+            .setStateMachine(machine)
+            .setProperties(settings)
+            .setParameters(parameters)
+            .setOption(RaftStorage.StartupOption.RECOVER)
+            .build();
+    RaftProperties asking = new RaftProperties();
+    RaftClientConfigKeys.Rpc.setRequestTimeout(asking, millis(REQUEST_MILLIS));
+    ClientId id = ClientId.randomId();
+    client =
+        RaftClient.newBuilder()
+            .setClientId(id)
+            .setRaftGroup(group)
+            .setProperties(asking)
+            .setClientRpc(new NettyFactory(null).newRaftClientRpc(id, asking))
+            .setRetryPolicy(
+                RetryPolicies.retryUpToMaximumCountWithFixedSleep(
+                    TRIES, millis(BETWEEN_TRIES_MILLIS)))
+            .build();
+    submitters =
+        new ThreadPoolExecutor(
+            SUBMITTERS,
+            SUBMITTERS,
+            1,
+            SECONDS,
+            new ArrayBlockingQueue<>(MOST_WAITING),
+            task -> {
+              Thread thread = new Thread(task, "agreement-submit");
+              thread.setDaemon(true);
+              return thread;
+            });
+    submitters.allowCoreThreadTimeOut(true);
+  }
+
+  private static TimeDuration millis(long millis) {
+    return TimeDuration.valueOf(millis, MILLISECONDS);
+  }
+
+  private static RaftGroup group(List<Peer> peers) {
+    List<RaftPeer> all = new ArrayList<>();
+    for (Peer peer : peers) {
+      all.add(
+          RaftPeer.newBuilder()
+              .setId(peer.name())
+              .setAddress(peer.address())
+              .setStartupRole(peer.votes() ? RaftPeerRole.FOLLOWER : RaftPeerRole.LISTENER)
+              .build());
+    }
+    return RaftGroup.valueOf(GROUP, all);
+  }
+
+  /** Takes part from now on. */
+  public void start() throws IOException {
+    server.start();
+  }
+
+  /**
+   * Has an entry taken by all. It may have been taken although the answer is an error: whoever
+   * submits it again must make it the same entry.
+   */
+  public CompletableFuture<byte[]> submit(byte[] entry) {
+    CompletableFuture<byte[]> answer = new CompletableFuture<>();
+    if (entry.length > MOST_ENTRY_BYTES) {
+      answer.completeExceptionally(
+          new IOException("an entry of " + entry.length + " bytes; at most " + MOST_ENTRY_BYTES));
+      return answer;
+    }
+    try {
+      submitters.execute(
+          () -> {
+            try {
+              RaftClientReply reply = client.io().send(Message.valueOf(ByteString.copyFrom(entry)));
+              if (reply.isSuccess()) {
+                answer.complete(reply.getMessage().getContent().toByteArray());
+              } else {
+                answer.completeExceptionally(new IOException("not taken: " + reply.getException()));
+              }
+            } catch (IOException | RuntimeException e) {
+              answer.completeExceptionally(e);
+            }
+          });
+    } catch (RejectedExecutionException e) {
+      answer.completeExceptionally(new IOException("too many entries wait", e));
+    }
+    return answer;
+  }
+
+  /** Who leads as far as this instance knows, or an empty text. */
+  public String leader() {
+    try {
+      RaftPeerId leader = server.getDivision(GROUP).getInfo().getLeaderId();
+      return leader == null ? "" : leader.toString();
+    } catch (IOException e) {
+      return "";
+    }
+  }
+
+  /** Ends this instance's part. */
+  @Override
+  public void close() {
+    submitters.shutdownNow();
+    for (AutoCloseable each : List.of(client, server)) {
+      try {
+        each.close();
+      } catch (Exception e) {
+        maplehall.runtime.Log.warn("agreement", "end: " + e);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/maplehall/agreement/LogMachine.java
@@ -0,0 +1,179 @@
+package maplehall.agreement;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.util.concurrent.CompletableFuture;
+import maplehall.files.AtomicFile;
+import maplehall.runtime.Log;
+import org.apache.ratis.io.MD5Hash;
+import org.apache.ratis.protocol.Message;
+import org.apache.ratis.protocol.RaftClientRequest;
+import org.apache.ratis.protocol.RaftGroupId;
+import org.apache.ratis.protocol.RaftGroupMemberId;
+import org.apache.ratis.protocol.RaftPeerId;
+import org.apache.ratis.server.RaftServer;
+import org.apache.ratis.server.protocol.TermIndex;
+import org.apache.ratis.server.storage.FileInfo;
+import org.apache.ratis.server.storage.RaftStorage;
+import org.apache.ratis.statemachine.StateMachineStorage;
+import org.apache.ratis.statemachine.TransactionContext;
+import org.apache.ratis.statemachine.impl.BaseStateMachine;
+import org.apache.ratis.statemachine.impl.SimpleStateMachineStorage;
+import org.apache.ratis.statemachine.impl.SingleFileSnapshotInfo;
+import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
+import org.apache.ratis.util.LifeCycle;
+import org.apache.ratis.util.MD5FileUtil;
+
+/**
+ * Hands the log to a {@link Replica}, with a time for each entry.
+ *
+ * <p>The time is the log's own clock: whoever leads goes on from the latest time that it took, by
+ * its monotonic clock from the moment at which it could lead. So the clock never runs faster than
+ * any instance's, and stands still while nobody leads. A time counts only in the term in which it
+ * was read: one that was read before a leader was cut off says nothing later.
+ */
+final class LogMachine extends BaseStateMachine {
+  private static final int HEADER_BYTES = 16;
+
+  private final Replica replica;
+  private final SimpleStateMachineStorage storage = new SimpleStateMachineStorage();
+  private RaftGroupId group;
+
+  /** The latest time of an entry that was taken. */
+  private volatile long takenMillis;
+
+  private long leadsTerm = -1;
+  private long leadsFromMillis;
+  private long leadsFromNanos;
+  private volatile boolean broken;
+
+  LogMachine(Replica replica) {
+    this.replica = replica;
+  }
+
+  @Override
+  public void initialize(RaftServer server, RaftGroupId id, RaftStorage folder) throws IOException {
+    super.initialize(server, id, folder);
+    group = id;
+    storage.init(folder);
+    load();
+  }
+
+  @Override
+  public void reinitialize() throws IOException {
+    storage.loadLatestSnapshot();
+    load();
+    if (getLifeCycleState() == LifeCycle.State.PAUSED) {
+      getLifeCycle().transition(LifeCycle.State.STARTING);
+      getLifeCycle().transition(LifeCycle.State.RUNNING);
+    }
+  }
+
+  @Override
+  public void pause() {
+    if (getLifeCycleState() == LifeCycle.State.RUNNING) {
+      getLifeCycle().transition(LifeCycle.State.PAUSING);
+      getLifeCycle().transition(LifeCycle.State.PAUSED);
+    }
+  }
+
+  @Override
+  public StateMachineStorage getStateMachineStorage() {
+    return storage;
+  }
+
+  private synchronized void load() throws IOException {
+    SingleFileSnapshotInfo latest = storage.getLatestSnapshot();
+    if (latest == null) {
+      return;
+    }
+    ByteBuffer saved = ByteBuffer.wrap(Files.readAllBytes(latest.getFile().getPath()));
+    takenMillis = saved.getLong();
+    byte[] rest = new byte[saved.remaining()];
+    saved.get(rest);
+    replica.load(rest);
+    setLastAppliedTermIndex(latest.getTermIndex());
+  }
+
+  @Override
+  public long takeSnapshot() throws IOException {
+    TermIndex last = getLastAppliedTermIndex();
+    if (broken || last == null || last.getIndex() < 0) {
+      return -1;
+    }
+    byte[] saved = replica.save();
+    ByteBuffer bytes = ByteBuffer.allocate(Long.BYTES + saved.length);
+    bytes.putLong(takenMillis).put(saved);
+    File file = storage.getSnapshotFile(last.getTerm(), last.getIndex());
+    AtomicFile.write(file.toPath(), bytes.array());
+    MD5Hash digest = MD5FileUtil.computeAndSaveMd5ForFile(file);
+    storage.updateLatestSnapshot(
+        new SingleFileSnapshotInfo(new FileInfo(file.toPath(), digest), last));
+    return last.getIndex();
+  }
+
+  @Override
+  public TransactionContext startTransaction(RaftClientRequest request) throws IOException {
+    ByteString entry = request.getMessage().getContent();
+    ByteBuffer header = ByteBuffer.allocate(HEADER_BYTES);
+    stamp(header);
+    return TransactionContext.newBuilder()
+        .setStateMachine(this)
+        .setClientRequest(request)
+        .setLogData(ByteString.copyFrom(header.flip()).concat(entry))
+        .build();
+  }
+
+  private synchronized void stamp(ByteBuffer header) throws IOException {
+    long term = getServer().join().getDivision(group).getInfo().getCurrentTerm();
+    long now = System.nanoTime();
+    if (term != leadsTerm) {
+      // Entries of earlier terms have been taken before a leader is asked for its first.
+      leadsTerm = term;
+      leadsFromMillis = takenMillis;
+      leadsFromNanos = now;
+    }
+    header.putLong(term).putLong(leadsFromMillis + (now - leadsFromNanos) / 1_000_000);
+  }
+
+  @Override
+  public CompletableFuture<Message> applyTransaction(TransactionContext context) {
+    var entry = context.getLogEntry();
+    try {
+      if (broken) {
+        throw new IllegalStateException("the log has stopped on this instance");
+      }
+      ByteBuffer data = entry.getStateMachineLogEntry().getLogData().asReadOnlyByteBuffer();
+      long term = data.getLong();
+      long stamp = data.getLong();
+      byte[] bytes = new byte[data.remaining()];
+      data.get(bytes);
+      if (term == entry.getTerm()) {
+        takenMillis = Math.max(takenMillis, stamp);
+      } else {
+        stamp = 0;
+      }
+      byte[] answer = replica.take(entry.getIndex(), stamp, bytes);
+      updateLastAppliedTermIndex(entry.getTerm(), entry.getIndex());
+      return CompletableFuture.completedFuture(Message.valueOf(ByteString.copyFrom(answer)));
+    } catch (RuntimeException e) {
+      // What comes after it would be computed from another state than everybody else's.
+      broken = true;
+      Log.error("agreement", "entry " + entry.getIndex() + " could not be taken; stopped", e);
+      return CompletableFuture.failedFuture(e);
+    }
+  }
+
+  @Override
+  public void notifyLeaderChanged(RaftGroupMemberId here, RaftPeerId leader) {
+    Log.info("agreement", leader + " leads");
+  }
+
+  @Override
+  public void notifyLogFailed(
+      Throwable cause, org.apache.ratis.proto.RaftProtos.LogEntryProto entry) {
+    Log.error("agreement", "the log could not be written", cause);
+  }
+}
--- a/src/main/java/maplehall/border/Attempt.java
+++ b/src/main/java/maplehall/border/Attempt.java
@@ -27,6 +27,12 @@
   /** How many attempts of the request were made before. */
   public abstract int number();
 
+  /**
+   * Whether its first byte may be written now. Time may have passed since it was decided, the
+   * process may even have been stopped; what may not ends as never sent.
+   */
+  public abstract boolean mayBegin();
+
   /**
    * Asks whether the answer may go on to the caller as it comes. If so the request has this answer
    * and no other: it can't be tried again, and attempts beside this one are called off.
--- a/src/main/java/maplehall/cli/Commands.java
+++ b/src/main/java/maplehall/cli/Commands.java
@@ -12,6 +12,7 @@
 import maplehall.runtime.Signals;
 import maplehall.standalone.StandaloneConfig;
 import maplehall.standalone.StandaloneNode;
+import maplehall.work.WorkOrders;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -24,7 +25,7 @@
     name = "heathswitch",
     description = "A load balancer that decides by a delay window for each server.",
     mixinStandardHelpOptions = true,
-    subcommands = {MembersCommand.class, GatewayCommand.class})
+    subcommands = {MembersCommand.class, GatewayCommand.class, WorkCommand.class})
 public final class Commands {
   /** What a command returns when the process goes on running. */
   static final int RUNNING = -1;
@@ -59,7 +60,7 @@
     StandaloneNode balancer;
     try {
       balancer = new StandaloneNode(file, result.config());
-    } catch (MembersWatcher.CannotStart | SiteGateway.CannotStart e) {
+    } catch (MembersWatcher.CannotStart | SiteGateway.CannotStart | WorkOrders.CannotStart e) {
       err().println(file + ": " + e.getMessage());
       return 1;
     }
--- /dev/null
+++ b/src/main/java/maplehall/cli/WorkCommand.java
@@ -0,0 +1,271 @@
+package maplehall.cli;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import maplehall.standalone.StandaloneConfig;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.ScopeType;
+import picocli.CommandLine.Spec;
+
+/** Machines taken out for work: asked for, watched, given back. */
+@Command(
+    name = "work",
+    description = {
+      "Machines taken out for work: asked for, watched, given back.",
+      "Exit codes: 0 done, 1 cannot be asked, 3 refused, 4 will not go out any more."
+    },
+    mixinStandardHelpOptions = true)
+final class WorkCommand {
+  static final int REFUSED = 3;
+  static final int NEVER = 4;
+  private static final long LOOK_MILLIS = 100;
+
+  @Spec private CommandSpec spec;
+
+  @Option(
+      names = "--config",
+      required = true,
+      paramLabel = "CONFIG",
+      scope = ScopeType.INHERIT,
+      description = "The configuration of the balancer to ask; any instance will do.")
+  private Path config;
+
+  @Option(
+      names = "--json",
+      scope = ScopeType.INHERIT,
+      description = "Answers as the admin listener gives them.")
+  private boolean json;
+
+  private PrintWriter out() {
+    return spec.commandLine().getOut();
+  }
+
+  private PrintWriter err() {
+    return spec.commandLine().getErr();
+  }
+
+  @Command(name = "request", description = "Asks for machines; the same request twice is one.")
+  int request(
+      @Option(names = "--machine", paramLabel = "ID") List<String> machines,
+      @Option(names = "--kind", defaultValue = "") String kind,
+      @Option(names = "--zone", defaultValue = "") String zone,
+      @Option(names = "--cell", defaultValue = "") String cell,
+      @Option(names = "--for", defaultValue = "PT1H", description = "ISO 8601, such as PT2H30M")
+          Duration duration,
+      @Option(names = "--at-once", defaultValue = "1") int atOnce,
+      @Option(names = "--after", defaultValue = "0", paramLabel = "ORDER") long after,
+      @Option(names = "--not-before", defaultValue = "PT0S", description = "from now")
+          Duration notBefore,
+      @Option(names = "--not-after", defaultValue = "PT0S", description = "from now")
+          Duration notAfter,
+      @Option(names = "--urgent") boolean urgent,
+      @Option(names = "--why", required = true) String why,
+      @Option(names = "--who", defaultValue = "${sys:user.name}") String who,
+      @Option(names = "--key", defaultValue = "", description = "names this request") String key,
+      @Option(names = "--wait", description = "Returns when the machines are out.") boolean wait)
+      throws InterruptedException {
+    List<String> ids = machines == null ? List.of() : machines;
+    String named =
+        key.isEmpty() ? String.join("|", who, why, kind, zone, cell, String.join(",", ids)) : key;
+    StringBuilder path = new StringBuilder("work/ask?key=").append(encoded(named));
+    ids.forEach(id -> path.append("&machine=").append(encoded(id)));
+    path.append("&kind=").append(encoded(kind));
+    path.append("&zone=").append(encoded(zone));
+    path.append("&cell=").append(encoded(cell));
+    path.append("&who=").append(encoded(who));
+    path.append("&why=").append(encoded(why));
+    path.append("&urgent=").append(urgent);
+    path.append("&at_once=").append(atOnce);
+    path.append("&for_ms=").append(duration.toMillis());
+    path.append("&after=").append(after);
+    path.append("&not_before_ms=").append(notBefore.toMillis());
+    path.append("&not_after_ms=").append(notAfter.toMillis());
+    AdminClient.Answer answer = answer(admin -> admin.post(path.toString()));
+    if (answer == null || answer.status() != 200) {
+      return told(answer);
+    }
+    long order = ((Number) answer.body().get("order")).longValue();
+    out().println(json ? text(answer) : "order " + order + " " + answer.body().get("message"));
+    out().flush();
+    return wait ? waitFor(order) : 0;
+  }
+
+  /** Until as many machines are out as may be at once, or no more will go. */
+  private int waitFor(long order) throws InterruptedException {
+    while (true) {
+      AdminClient.Answer answer = answer(admin -> admin.get("work/" + order));
+      if (answer != null && answer.status() == 200) {
+        Map<?, ?> phases = (Map<?, ?>) answer.body().get("phases");
+        long out = count(phases, "out");
+        long coming = count(phases, "waiting") + count(phases, "emptying");
+        long atOnce = ((Number) answer.body().get("at_once")).longValue();
+        if (out > 0 && (out >= atOnce || coming == 0)) {
+          out().println(json ? text(answer) : "order " + order + " is out");
+          return 0;
+        }
+        if (out + coming == 0) {
+          err().println("order " + order + " will not go out any more");
+          return NEVER;
+        }
+      }
+      Thread.sleep(LOOK_MILLIS); // A balancer that restarts answers again.
+    }
+  }
+
+  private static long count(Map<?, ?> phases, String phase) {
+    return phases.get(phase) instanceof Number number ? number.longValue() : 0;
+  }
+
+  @Command(name = "list", description = "Shows all orders and instances.")
+  int list() {
+    AdminClient.Answer answer = answer(admin -> admin.get("work"));
+    if (json || answer == null || answer.status() != 200) {
+      return told(answer);
+    }
+    Map<String, Object> page = answer.body();
+    out().println("entry " + page.get("entry") + ", " + page.get("leader") + " leads");
+    for (Object each : (List<?>) page.get("instances")) {
+      Map<?, ?> row = (Map<?, ?>) each;
+      String fenced = Boolean.TRUE.equals(row.get("fenced")) ? "  fenced" : "";
+      out().printf("%-16s heard %s ms ago%s%n", row.get("name"), row.get("heard_ms_ago"), fenced);
+    }
+    for (Object each : (List<?>) page.get("orders")) {
+      Map<?, ?> row = (Map<?, ?>) each;
+      out()
+          .printf(
+              "order %-5s %-40s %s: %s%n",
+              row.get("order"), row.get("phases"), row.get("who"), row.get("why"));
+    }
+    return 0;
+  }
+
+  @Command(
+      name = "show",
+      aliases = "explain",
+      description = "Shows where each machine of an order stands, and what it waits for.")
+  int show(@Parameters(paramLabel = "ORDER") long order) {
+    AdminClient.Answer answer = answer(admin -> admin.get("work/" + order));
+    if (json || answer == null || answer.status() != 200) {
+      return told(answer);
+    }
+    show(answer.body());
+    return 0;
+  }
+
+  private void show(Map<String, Object> page) {
+    out().println("order " + page.get("order") + " of " + page.get("who") + ": " + page.get("why"));
+    for (Object each : (List<?>) page.get("standings")) {
+      Map<?, ?> row = (Map<?, ?>) each;
+      out()
+          .printf(
+              "%-20s %-10s for %s ms  %s%n",
+              row.get("machine"), row.get("phase"), row.get("since_ms"), row.get("waits_for"));
+    }
+    out().flush();
+  }
+
+  @Command(name = "watch", description = "Shows an order each time that it has moved on.")
+  int watch(@Parameters(paramLabel = "ORDER") long order) throws InterruptedException {
+    Object before = null;
+    while (true) {
+      AdminClient.Answer answer = answer(admin -> admin.get("work/" + order));
+      if (answer == null || answer.status() != 200) {
+        return told(answer);
+      }
+      Map<?, ?> phases = (Map<?, ?>) answer.body().get("phases");
+      if (!phases.equals(before)) {
+        before = phases;
+        if (json) {
+          out().println(text(answer));
+          out().flush();
+        } else {
+          show(answer.body());
+        }
+      }
+      long ended = count(phases, "done") + count(phases, "abandoned");
+      if (ended == ((Number) answer.body().get("machines")).longValue()) {
+        return 0;
+      }
+      Thread.sleep(LOOK_MILLIS);
+    }
+  }
+
+  @Command(name = "done", description = "Puts machines back: all that are out, or one.")
+  int done(
+      @Parameters(paramLabel = "ORDER") long order,
+      @Parameters(paramLabel = "MACHINE", arity = "0..1") String machine) {
+    String one = machine == null ? "" : "/" + encoded(machine);
+    return told(answer(admin -> admin.post("work/done/" + order + one)));
+  }
+
+  @Command(name = "extend", description = "The work takes longer.")
+  int extend(
+      @Parameters(paramLabel = "ORDER") long order,
+      @Parameters(paramLabel = "TIME", description = "ISO 8601, such as PT30M") Duration by) {
+    return told(answer(admin -> admin.post("work/extend/" + order + '/' + by.toMillis())));
+  }
+
+  @Command(name = "cancel", description = "What is not out yet will not go.")
+  int cancel(@Parameters(paramLabel = "ORDER") long order) {
+    return told(answer(admin -> admin.post("work/cancel/" + order)));
+  }
+
+  @Command(
+      name = "fence",
+      description = "Says that an instance does not run: orders no longer wait for it.")
+  int fence(@Parameters(paramLabel = "INSTANCE") String instance) {
+    return told(answer(admin -> admin.post("work/fence/" + encoded(instance))));
+  }
+
+  private static String encoded(String text) {
+    return URLEncoder.encode(text, StandardCharsets.UTF_8);
+  }
+
+  private static String text(AdminClient.Answer answer) {
+    try {
+      return JSON.std.asString(answer.body());
+    } catch (IOException e) {
+      return String.valueOf(answer.body());
+    }
+  }
+
+  /** The answer, or null with the reason told. */
+  private AdminClient.Answer answer(Asking.Question question) {
+    StandaloneConfig read = Asking.config(spec, config);
+    if (read == null) {
+      return null;
+    }
+    if (read.admin() == null || read.work() == null) {
+      err().println(config + ": the tables [admin] and [work] are both needed");
+      return null;
+    }
+    try {
+      return question.to(new AdminClient(read.admin().listen()));
+    } catch (IOException e) {
+      err().println(read.admin().listen() + " does not answer: " + e.getMessage());
+      return null;
+    }
+  }
+
+  private int told(AdminClient.Answer answer) {
+    if (answer == null) {
+      return 1;
+    }
+    if (answer.status() == 200) {
+      out().println(text(answer));
+      return 0;
+    }
+    err().println(json ? text(answer) : String.valueOf(answer.body().get("error")));
+    return answer.status() == 409 ? REFUSED : 1;
+  }
+}
--- a/src/main/java/maplehall/dispatch/Dispatcher.java
+++ b/src/main/java/maplehall/dispatch/Dispatcher.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.Predicate;
 import maplehall.border.Answer;
 import maplehall.border.Caller;
 import maplehall.border.Payload;
@@ -47,6 +48,11 @@
     List<Member> over(ListForm form, List<Member> entries);
   }
 
+  /** Whether anything may be sent at all; asked right before the first byte of an attempt. */
+  public interface Gate {
+    boolean open();
+  }
+
   /** When to come back is said so at most where the module has said nothing of it. */
   private static final long RETRY_AFTER_NANOS = 500_000_000L;
 
@@ -71,6 +77,9 @@
   private Discovery discovery;
   private Overlay overlay = (form, entries) -> entries;
 
+  /** Null where it is always open. */
+  private Gate gate;
+
   /** Where requests may go that have no room here, or null. */
   private Elsewhere elsewhere;
 
@@ -96,6 +105,11 @@
     overlay = over;
   }
 
+  /** Has somebody say whether anything may be sent; before the start. */
+  public void gate(Gate by) {
+    gate = by;
+  }
+
   /** Offers somebody what has no room here; before the start. */
   public void overflow(Elsewhere to) {
     elsewhere = to;
@@ -129,11 +143,21 @@
     return balancer.figures(clock.nowNanos());
   }
 
-  /** Each server's name, calls in flight and window, of so many servers at most. */
+  /** Attempts that are out at such upstreams, those that are no longer listed among them. */
+  public int inFlight(Predicate<Upstream> at) {
+    int calls = 0;
+    for (Upstream upstream : upstreams.values()) {
+      calls += upstream.attempts > 0 && at.test(upstream) ? upstream.attempts : 0;
+    }
+    return calls;
+  }
+
+  /** Of each server's name calls in flight, window, and 1 if it rests; so many at most. */
   public Map<String, int[]> loads(int most) {
     Map<String, int[]> loads = new LinkedHashMap<>();
+    long now = clock.nowNanos();
     for (Upstream upstream : upstreams.values()) {
-      int[] load = loads.size() < most ? balancer.load(upstream.id) : null;
+      int[] load = loads.size() < most ? balancer.load(now, upstream.id) : null;
       if (load != null) {
         loads.put(upstream.name, load);
       }
@@ -219,6 +243,11 @@
     }
   }
 
+  @Override
+  public boolean mayBegin() {
+    return gate == null || gate.open();
+  }
+
   private void timeOut(LiveRequest.Attempt attempt) {
     if (!attempt.open) {
       return;
@@ -524,6 +553,7 @@
         || now >= request.deadlineNanos
         || attempt.number >= settings.limits().mostTries()
         || !request.payload.repeatable()
+        || !mayBegin()
         || !request.payload.start(attempt)) {
       upstream.attempts++; // Taken back with the outcome, like that of any attempt.
       ended(attempt, Outcome.MOOT, null);
--- a/src/main/java/maplehall/dispatch/LiveRequest.java
+++ b/src/main/java/maplehall/dispatch/LiveRequest.java
@@ -19,6 +19,8 @@
 
     void ended(Attempt attempt, Outcome outcome, Answer answer);
 
+    boolean mayBegin();
+
     void gone(LiveRequest request);
 
     void whole(LiveRequest request, long ttlNanos);
@@ -59,6 +61,11 @@
       return number;
     }
 
+    @Override
+    public boolean mayBegin() {
+      return listener.mayBegin();
+    }
+
     @Override
     public boolean begun() {
       return listener.begun(this);
--- a/src/main/java/maplehall/grpc/GrpcStream.java
+++ b/src/main/java/maplehall/grpc/GrpcStream.java
@@ -62,6 +62,10 @@
     return attempt != null;
   }
 
+  boolean mayBegin() {
+    return attempt.mayBegin();
+  }
+
   /** The connection is there; false if it has no stream for the attempt. */
   boolean begin(long nowNanos) {
     boolean whole = call.whole();
--- a/src/main/java/maplehall/grpc/UpstreamLink.java
+++ b/src/main/java/maplehall/grpc/UpstreamLink.java
@@ -108,6 +108,8 @@
   private void begin(GrpcStream stream) {
     if (!stream.wanted()) {
       streamDone();
+    } else if (!stream.mayBegin()) {
+      stream.failed();
     } else if (!stream.begin(clock.nowNanos())) {
       goAway(); // Its ids are used up, or its GOAWAY is just being read.
       stream.failed();
--- a/src/main/java/maplehall/http1/UpstreamConnection.java
+++ b/src/main/java/maplehall/http1/UpstreamConnection.java
@@ -160,6 +160,11 @@
     readsBefore = decoder.reads();
     interim = false;
     Attempt now = attempt;
+    if (!now.mayBegin()) {
+      end(Outcome.MOOT);
+      close();
+      return;
+    }
     long left = now.deadlineNanos() - clock.nowNanos();
     Upload upload = payload.upload();
     if (upload == null) {
--- a/src/main/java/maplehall/node/Shutdown.java
+++ b/src/main/java/maplehall/node/Shutdown.java
@@ -52,6 +52,9 @@
   private BooleanSupplier followed = () -> false;
   private volatile boolean begun;
 
+  /** What is left to say when all is drained, or null. */
+  private volatile Runnable last;
+
   /** When what is owed fails, and until when requests are taken on open connections. */
   private final long finishMillis;
 
@@ -80,6 +83,11 @@
     followed = by;
   }
 
+  /** Is run when all is drained, before the process ends; must end by itself, and soon. */
+  public void lastly(Runnable task) {
+    last = task;
+  }
+
   /** Whether the drain has begun. */
   public boolean begun() {
     return begun;
@@ -96,6 +104,9 @@
                   } catch (InterruptedException e) {
                     Log.warn("shutdown", "interrupted");
                   }
+                  if (last != null) {
+                    last.run();
+                  }
                   Runtime.getRuntime().halt(0);
                 },
                 "shutdown"));
--- a/src/main/java/maplehall/standalone/StandaloneConfig.java
+++ b/src/main/java/maplehall/standalone/StandaloneConfig.java
@@ -9,6 +9,8 @@
 import maplehall.grpc.GrpcTable;
 import maplehall.members.MembersTable;
 import maplehall.node.NodeSettings;
+import maplehall.work.WorkTable;
+import meadowtrack.api.Settings;
 
 /**
  * The configuration of an installation of its own. A subsystem adds its table here with one line:
@@ -17,16 +19,25 @@
  * @param admin null where the listener is off
  * @param grpc null where that listener is off
  * @param gateway null where no other site is spoken to
+ * @param work null where machines are not taken out by orders
  */
 public record StandaloneConfig(
     NodeSettings node,
     MembersTable members,
     AdminTable admin,
     GrpcTable grpc,
-    GatewayTable gateway) {
+    GatewayTable gateway,
+    WorkTable work) {
   /** A configuration, or what is wrong with the file; one of the two is empty. */
   public record Result(StandaloneConfig config, List<Fault> faults) {}
 
+  private static WorkTable work(Document document, NodeSettings node) {
+    Settings.Obligations rules = node == null ? null : node.settings().obligations();
+    return rules == null
+        ? WorkTable.read(document, 0, 1)
+        : WorkTable.read(document, rules.warmUpNanos() / 1_000_000, rules.startCapacity());
+  }
+
   /** Reads the file and checks all of it. */
   public static Result read(Path path) {
     Document document = Document.read(path);
@@ -40,7 +51,8 @@
             MembersTable.read(document),
             AdminTable.read(document.root()),
             GrpcTable.read(document.root(), node == null ? List.of() : node.settings().classes()),
-            GatewayTable.read(document));
+            GatewayTable.read(document),
+            work(document, node));
     document.root().end();
     List<Fault> faults = document.faults();
     return new Result(faults.isEmpty() ? config : null, faults);
--- a/src/main/java/maplehall/standalone/StandaloneNode.java
+++ b/src/main/java/maplehall/standalone/StandaloneNode.java
@@ -1,5 +1,6 @@
 package maplehall.standalone;
 
+import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.lang.management.MemoryPoolMXBean;
 import java.lang.management.MemoryType;
@@ -17,6 +18,7 @@
 import maplehall.node.Node;
 import maplehall.node.NodeSettings;
 import maplehall.runtime.Log;
+import maplehall.work.WorkOrders;
 
 /** A balancer on its own: its configuration is a TOML file, its members come from watched files. */
 public final class StandaloneNode {
@@ -30,10 +32,11 @@
   private AdminServer admin;
   private GrpcServer grpc;
   private SiteGateway gateway;
+  private WorkOrders work;
 
   /** Reads the members; fails where there is no list to serve with, or no certificate. */
   public StandaloneNode(Path path, StandaloneConfig config)
-      throws MembersWatcher.CannotStart, SiteGateway.CannotStart {
+      throws MembersWatcher.CannotStart, SiteGateway.CannotStart, WorkOrders.CannotStart {
     this.path = path;
     this.config = config;
     members = MembersWatcher.open(config.members());
@@ -57,10 +60,13 @@
         grpc.forbid(SiteGateway.TRAIL);
       }
     }
+    if (config.work() != null) {
+      work = new WorkOrders(node, config.work());
+    }
   }
 
   /** Returns once clients can connect; fails if an address is taken. */
-  public void start() throws InterruptedException {
+  public void start() throws InterruptedException, IOException {
     if (config.admin() != null) {
       admin = new AdminServer(node.loop());
       MembersPages.add(admin, members);
@@ -69,8 +75,14 @@
       if (gateway != null) {
         gateway.addPages(admin);
       }
+      if (work != null) {
+        work.addPages(admin);
+      }
       admin.start(config.admin().listen());
     }
+    if (work != null) {
+      work.start();
+    }
     node.start();
   }
 
@@ -154,5 +166,8 @@
       gateway.close();
     }
     node.stop();
+    if (work != null) {
+      work.close();
+    }
   }
 }
--- /dev/null
+++ b/src/main/java/maplehall/work/Holdings.java
@@ -0,0 +1,213 @@
+package maplehall.work;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import maplehall.border.Upstream;
+import maplehall.dispatch.Dispatcher;
+import maplehall.dispatch.Member;
+import meadowtrack.api.Health;
+import meadowtrack.api.ListForm;
+import meadowtrack.work.Group;
+import meadowtrack.work.Machine;
+import meadowtrack.work.Phase;
+import meadowtrack.work.Report;
+import meadowtrack.work.Settled;
+
+/**
+ * Lays what is settled over the lists of servers: what is held gets nothing new, what comes back is
+ * cold. On the loop alone.
+ */
+final class Holdings implements Dispatcher.Overlay {
+  /** As the files list them; as long as their lists. */
+  private final Map<String, Member> listed = new LinkedHashMap<>();
+
+  /** Machines that orders have a hand on, by id. */
+  private Map<String, Settled.Away> away = Map.of();
+
+  /** Addresses of those that are held: another id there is the same machine. */
+  private final Map<String, String> heldAt = new HashMap<>();
+
+  /** When listed machines came back, Unix time in milliseconds. */
+  private final Map<String, Long> back = new HashMap<>();
+
+  /** Those that rested when last looked at. */
+  private Set<String> rested = new HashSet<>();
+
+  @Override
+  public List<Member> over(ListForm form, List<Member> entries) {
+    if (form != ListForm.CHANGES) {
+      listed.clear();
+    }
+    List<Member> laidOver = new ArrayList<>(entries.size());
+    for (Member entry : entries) {
+      if (entry.health() == Health.GONE) {
+        listed.remove(entry.id());
+        back.remove(entry.id());
+      } else {
+        listed.put(entry.id(), entry);
+      }
+      laidOver.add(standing(entry));
+    }
+    back.keySet().retainAll(listed.keySet());
+    return laidOver;
+  }
+
+  static String text(InetSocketAddress address) {
+    return address == null ? "" : address.getAddress().getHostAddress() + ':' + address.getPort();
+  }
+
+  /** Where a machine is reached; the one address that stands for it. */
+  private static String place(Member entry) {
+    return text(entry.address() == null ? entry.grpcAddress() : entry.address());
+  }
+
+  private Member standing(Member entry) {
+    if (entry.health() == Health.GONE) {
+      return entry;
+    }
+    Settled.Away held = away.get(entry.id());
+    if (held != null && held.phase().held() || heldAt.containsKey(place(entry))) {
+      return entry.with(Health.DRAINING, entry.startedMillis());
+    }
+    long since = back.getOrDefault(entry.id(), 0L);
+    return entry.with(entry.health(), Math.max(since, entry.startedMillis()));
+  }
+
+  /** Takes what is settled now and tells the dispatcher of whatever that changes. */
+  void update(List<Settled.Away> now, Dispatcher dispatcher) {
+    Map<String, Settled.Away> before = away;
+    Set<String> addresses = new HashSet<>(heldAt.keySet());
+    away = new HashMap<>();
+    heldAt.clear();
+    for (Settled.Away each : now) {
+      away.put(each.machine(), each);
+      if (each.phase().held()) {
+        heldAt.put(each.address(), each.machine());
+        back.remove(each.machine());
+      }
+    }
+    addresses.addAll(heldAt.keySet());
+    List<Member> changed = new ArrayList<>();
+    for (Member entry : listed.values()) {
+      Settled.Away then = before.get(entry.id());
+      Settled.Away here = away.get(entry.id());
+      boolean wasHeld = then != null && then.phase().held();
+      if (here != null && here.phase() == Phase.RETURNING && !back.containsKey(entry.id())) {
+        back.put(entry.id(), System.currentTimeMillis());
+        changed.add(standing(entry));
+      } else if (wasHeld != (here != null && here.phase().held())
+          || addresses.contains(place(entry))) {
+        changed.add(standing(entry));
+      }
+    }
+    if (!changed.isEmpty()) {
+      dispatcher.onStanding(changed);
+    }
+  }
+
+  /** The machines that are being emptied and have nothing of this balancer's in flight. */
+  List<Settled.Away> free(Dispatcher dispatcher) {
+    List<Settled.Away> free = new ArrayList<>();
+    for (Settled.Away each : away.values()) {
+      if (each.phase() == Phase.EMPTYING
+          && dispatcher.inFlight(upstream -> is(upstream, each)) == 0) {
+        free.add(each);
+      }
+    }
+    return free;
+  }
+
+  /** Whether a grant still stands as it was. */
+  boolean holds(Settled.Away grant) {
+    return grant.equals(away.get(grant.machine()));
+  }
+
+  private static boolean is(Upstream upstream, Settled.Away machine) {
+    return upstream.name.equals(machine.machine())
+        || text(upstream.address).equals(machine.address())
+        || text(upstream.grpcAddress).equals(machine.address());
+  }
+
+  /**
+   * What is in service as this balancer sees it.
+   *
+   * @param upTo the entry of the log up to which all has been laid over the lists
+   */
+  Report report(long upTo, Dispatcher dispatcher, WorkTable table, long nowMillis) {
+    Map<String, int[]> loads = dispatcher.loads(Integer.MAX_VALUE);
+    Map<Group, double[]> groups = new HashMap<>();
+    Set<String> resting = new HashSet<>();
+    for (Member entry : listed.values()) {
+      Group group = new Group(entry.kind(), entry.zone());
+      double[] sums = groups.computeIfAbsent(group, any -> new double[2]);
+      sums[0] += entry.weight();
+      Member now = standing(entry);
+      int[] load = loads.get(entry.id());
+      if (load != null && load[2] > 0) {
+        resting.add(entry.id());
+      }
+      // One rest may be a false alarm, and is over in half a second; two looks in a row are not.
+      boolean ill = resting.contains(entry.id()) && rested.contains(entry.id());
+      if (now.health() == Health.READY && !ill) {
+        sums[1] += entry.weight() * warmth(now, table, nowMillis);
+      }
+    }
+    rested = resting;
+    Set<String> warm = new HashSet<>();
+    for (Settled.Away each : away.values()) {
+      Member entry = listed.get(each.machine());
+      if (each.phase() == Phase.RETURNING
+          && (entry == null
+              || entry.health() == Health.READY
+                  && !rested.contains(entry.id())
+                  && warmth(standing(entry), table, nowMillis) >= 1)) {
+        warm.add(each.machine());
+      }
+    }
+    Map<Group, Report.Capacity> capacities = new HashMap<>();
+    groups.forEach((group, sums) -> capacities.put(group, new Report.Capacity(sums[0], sums[1])));
+    return new Report(upTo, capacities, warm);
+  }
+
+  private static double warmth(Member entry, WorkTable table, long nowMillis) {
+    if (entry.startedMillis() <= 0 || table.warmMillis() <= 0) {
+      return 1;
+    }
+    double age = (double) (nowMillis - entry.startedMillis()) / table.warmMillis();
+    return table.coldShare() + (1 - table.coldShare()) * Math.max(0, Math.min(1, age));
+  }
+
+  /** The servers that a choice names; each word of it may be left empty. */
+  List<Machine> choose(Set<String> ids, String kind, String zone, String cell) {
+    List<Machine> chosen = new ArrayList<>();
+    for (Member entry : listed.values()) {
+      boolean named = ids.contains(entry.id());
+      boolean fits =
+          !(kind.isEmpty() && zone.isEmpty() && cell.isEmpty())
+              && (kind.isEmpty() || kind.equals(entry.kind()))
+              && (zone.isEmpty() || zone.equals(entry.zone()))
+              && (cell.isEmpty() || cell.equals(Long.toString(entry.cell())));
+      if (named || fits) {
+        chosen.add(
+            new Machine(
+                entry.id(),
+                entry.kind(),
+                entry.zone(),
+                entry.cell(),
+                entry.weight(),
+                place(entry)));
+      }
+    }
+    return chosen;
+  }
+
+  boolean lists(String id) {
+    return listed.containsKey(id);
+  }
+}
--- /dev/null
+++ b/src/main/java/maplehall/work/WorkPages.java
@@ -0,0 +1,234 @@
+package maplehall.work;
+
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import maplehall.admin.AdminServer;
+import meadowtrack.work.Command;
+import meadowtrack.work.Machine;
+import meadowtrack.work.Phase;
+import meadowtrack.work.Reply;
+import meadowtrack.work.Rules;
+import meadowtrack.work.Settled;
+
+/** The pages of work orders on the admin listener. */
+final class WorkPages {
+  /** Machines of one order that are shown. */
+  private static final int MOST_SHOWN = 200;
+
+  private final WorkOrders orders;
+  private final WorkTable table;
+  private final Ledger ledger;
+  private final Executor thread;
+
+  WorkPages(WorkOrders orders, WorkTable table, Ledger ledger, Executor thread) {
+    this.orders = orders;
+    this.table = table;
+    this.ledger = ledger;
+    this.thread = thread;
+  }
+
+  void add(AdminServer admin) {
+    admin.get("work", this::read);
+    admin.post("work", this::change);
+  }
+
+  /** What a question makes of the ledger, off the loop. */
+  private void read(String rest, Consumer<AdminServer.Reply> reply) {
+    Function<Settled, Map<String, Object>> question;
+    if (rest.isEmpty()) {
+      question = this::overview;
+    } else if (rest.equals("settled")) {
+      question = Settled::save;
+    } else if (rest.matches("\\d{1,18}")) {
+      question = settled -> order(settled, Long.parseLong(rest));
+    } else {
+      reply.accept(AdminServer.Reply.error(404, "work, work/ORDER or work/settled expected"));
+      return;
+    }
+    try {
+      thread.execute(
+          () -> {
+            Map<String, Object> page = ledger.ask(question);
+            reply.accept(
+                page == null
+                    ? AdminServer.Reply.error(404, "no order " + rest)
+                    : AdminServer.Reply.ok(page));
+          });
+    } catch (RejectedExecutionException e) {
+      reply.accept(AdminServer.Reply.error(503, "ending"));
+    }
+  }
+
+  private Map<String, Object> overview(Settled settled) {
+    Map<String, Object> page = new LinkedHashMap<>();
+    page.put("instance", table.instance());
+    page.put("leader", orders.leader());
+    page.put("entry", settled.index());
+    page.put("log_ms", settled.nowMillis());
+    page.put("when_cut_off", table.stops() ? "stop" : "serve");
+    page.put("lease_left_ms", orders.leaseLeftMillis());
+    Rules rules = settled.rules();
+    Map<String, Object> inForce = new LinkedHashMap<>();
+    inForce.put("version", rules.version());
+    inForce.put("lease_ms", rules.leaseMillis());
+    inForce.put("most_out", rules.mostOut());
+    inForce.put("most_out_in_cell", rules.mostOutInCell());
+    inForce.put("floors", rules.floors().stream().map(Object::toString).toList());
+    page.put("rules", inForce);
+    List<Object> instances = new ArrayList<>();
+    for (Settled.Seen each : settled.instances()) {
+      Map<String, Object> row = new LinkedHashMap<>();
+      row.put("name", each.name());
+      row.put("when_cut_off", each.stops() ? "stop" : "serve");
+      row.put("fenced", each.fenced());
+      row.put("heard_ms_ago", each.heardMillisAgo());
+      instances.add(row);
+    }
+    page.put("instances", instances);
+    List<Object> rows = new ArrayList<>();
+    for (long id : settled.orders()) {
+      rows.add(brief(settled, id));
+    }
+    page.put("orders", rows);
+    return page;
+  }
+
+  private static Map<String, Object> brief(Settled settled, long id) {
+    Command.Ask ask = settled.wanted(id);
+    Map<String, Object> row = new LinkedHashMap<>();
+    row.put("order", id);
+    row.put("who", ask.who());
+    row.put("why", ask.why());
+    row.put("machines", ask.machines().size());
+    row.put("at_once", ask.atOnce());
+    Map<String, Object> phases = new LinkedHashMap<>();
+    for (Map.Entry<Phase, Integer> each : settled.phases(id).entrySet()) {
+      phases.put(each.getKey().name().toLowerCase(java.util.Locale.ROOT), each.getValue());
+    }
+    row.put("phases", phases);
+    return row;
+  }
+
+  private static Map<String, Object> order(Settled settled, long id) {
+    Command.Ask ask = settled.wanted(id);
+    if (ask == null) {
+      return null;
+    }
+    Map<String, Object> page = brief(settled, id);
+    page.put("urgent", ask.urgent());
+    page.put("for_ms", ask.forMillis());
+    page.put("after", ask.after());
+    List<Object> rows = new ArrayList<>();
+    for (Settled.Standing each : settled.standings(id, MOST_SHOWN)) {
+      Map<String, Object> row = new LinkedHashMap<>();
+      row.put("machine", each.machine());
+      row.put("phase", each.phase().name().toLowerCase(java.util.Locale.ROOT));
+      row.put("since_ms", each.sinceMillis());
+      row.put("overdue", each.overdue());
+      row.put("waits_for", each.waitsFor());
+      rows.add(row);
+    }
+    page.put("standings", rows);
+    return page;
+  }
+
+  // ---- what changes something ----
+
+  private void change(String rest, Consumer<AdminServer.Reply> reply) {
+    QueryStringDecoder call = new QueryStringDecoder(rest);
+    String[] words = call.path().split("/");
+    try {
+      switch (words[0]) {
+        case "ask" -> ask(call.parameters(), reply);
+        case "done" ->
+            send(
+                new Command.Done(Long.parseLong(words[1]), words.length > 2 ? words[2] : null),
+                reply);
+        case "extend" ->
+            send(new Command.Extend(Long.parseLong(words[1]), Long.parseLong(words[2])), reply);
+        case "cancel" -> send(new Command.Cancel(Long.parseLong(words[1])), reply);
+        case "fence" -> send(new Command.Fence(words[1]), reply);
+        default -> throw new IllegalArgumentException(words[0]);
+      }
+    } catch (IllegalArgumentException | ArrayIndexOutOfBoundsException e) {
+      reply.accept(
+          AdminServer.Reply.error(
+              400,
+              "work/ask?..., done/ORDER[/MACHINE], extend/ORDER/MILLIS, cancel/ORDER or"
+                  + " fence/INSTANCE expected: "
+                  + e.getMessage()));
+    }
+  }
+
+  private void ask(Map<String, List<String>> words, Consumer<AdminServer.Reply> reply) {
+    Set<String> ids = new HashSet<>(words.getOrDefault("machine", List.of()));
+    String kind = word(words, "kind", "");
+    String zone = word(words, "zone", "");
+    String cell = word(words, "cell", "");
+    String key = word(words, "key", null);
+    String who = word(words, "who", null);
+    String why = word(words, "why", "");
+    boolean urgent = Boolean.parseBoolean(word(words, "urgent", "false"));
+    int atOnce = Integer.parseInt(word(words, "at_once", "1"));
+    long forMillis = Long.parseLong(word(words, "for_ms", null));
+    long after = Long.parseLong(word(words, "after", "0"));
+    long notBefore = Long.parseLong(word(words, "not_before_ms", "0"));
+    long notAfter = Long.parseLong(word(words, "not_after_ms", "0"));
+    orders
+        .choose(ids, kind, zone, cell)
+        .thenAccept(
+            machines -> {
+              Set<String> found = new HashSet<>();
+              machines.forEach((Machine each) -> found.add(each.id()));
+              for (String id : ids) {
+                if (!found.contains(id)) {
+                  reply.accept(AdminServer.Reply.error(409, "no server " + id + " is listed here"));
+                  return;
+                }
+              }
+              send(
+                  new Command.Ask(
+                      key, who, why, urgent, atOnce, forMillis, after, notBefore, notAfter,
+                      machines),
+                  reply);
+            });
+  }
+
+  private static String word(Map<String, List<String>> words, String key, String otherwise) {
+    List<String> values = words.get(key);
+    if (values == null && otherwise == null) {
+      throw new IllegalArgumentException(key + " is missing");
+    }
+    return values == null ? otherwise : values.get(0);
+  }
+
+  /** Tells what became of it when all instances will know. */
+  private void send(Command command, Consumer<AdminServer.Reply> reply) {
+    orders
+        .command(command)
+        .whenComplete(
+            (Reply said, Throwable failure) -> {
+              if (said == null) {
+                reply.accept(
+                    AdminServer.Reply.error(
+                        503, "not known to be taken, ask again: " + failure.getMessage()));
+              } else if (said.ok()) {
+                Map<String, Object> body = new LinkedHashMap<>();
+                body.put("order", said.order());
+                body.put("message", said.message());
+                reply.accept(AdminServer.Reply.ok(body));
+              } else {
+                reply.accept(AdminServer.Reply.error(409, said.message()));
+              }
+            });
+  }
+}
--- a/src/main/java/meadowtrack/core/Balancer.java
+++ b/src/main/java/meadowtrack/core/Balancer.java
@@ -406,10 +406,11 @@
         members.figures(nowNanos));
   }
 
-  /** Calls in flight and window of a server, or null for one that is not known. */
-  public int[] load(long serverId) {
-    Server server = members.known.get(serverId);
-    return server == null ? null : new int[] {server.inFlight, server.window.size()};
+  /** Calls in flight, window, and whether it rests (1) of a server; null if it is not known. */
+  public int[] load(long nowNanos, long serverId) {
+    Server it = members.known.get(serverId);
+    int rests = it != null && (it.resting(nowNanos) || it.silent(nowNanos)) ? 1 : 0;
+    return it == null ? null : new int[] {it.inFlight, it.window.size(), rests};
   }
 
   // ---- judging servers ----
--- /dev/null
+++ b/src/main/java/meadowtrack/work/Floor.java
@@ -0,0 +1,20 @@
+package meadowtrack.work;
+
+/**
+ * Capacity that must stay in service while machines are out.
+ *
+ * @param kind of the servers that it speaks of, or {@code *} for all
+ * @param zone likewise
+ * @param least part of the listed weight, from 0 to 1
+ */
+public record Floor(String kind, String zone, double least) {
+  boolean covers(Group group) {
+    return (kind.equals("*") || kind.equals(group.kind()))
+        && (zone.equals("*") || zone.equals(group.zone()));
+  }
+
+  @Override
+  public String toString() {
+    return "floor " + least + " of kind " + kind + " in zone " + zone;
+  }
+}
--- /dev/null
+++ b/src/main/java/meadowtrack/work/Instance.java
@@ -0,0 +1,19 @@
+package meadowtrack.work;
+
+/** A balancer that takes part. */
+final class Instance {
+  final String name;
+  long incarnation;
+  boolean stops;
+
+  /** Counted as one that sends nothing: it has left, was fenced by a person, or its lease ended. */
+  boolean fenced;
+
+  long renewedMillis;
+  long reportedMillis;
+  Report report;
+
+  Instance(String name) {
+    this.name = name;
+  }
+}
--- /dev/null
+++ b/src/main/java/meadowtrack/work/Settled.java
@@ -0,0 +1,802 @@
+package meadowtrack.work;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Which machines are out, and which go next: the same on every instance that has taken the same
+ * entries. Time is what the entries say, a span that never runs faster than any instance's clock.
+ */
+public final class Settled {
+  /** Orders that have not ended; one more is refused. */
+  public static final int MOST_ORDERS = 1024;
+
+  /** Machines of all these together. */
+  public static final int MOST_MACHINES = 20_000;
+
+  /** Ended orders that can still be shown. */
+  static final int MOST_ENDED = 256;
+
+  public static final int MOST_INSTANCES = 64;
+
+  /** Rounds that an urgent order goes before others; so it is overtaken and overtakes in bounds. */
+  static final int URGENT_ROUNDS = 8;
+
+  /** What an instance saw longer ago counts for nothing. */
+  static final long REPORT_MILLIS = 10_000;
+
+  /** Said to a join that did not know of the latest one; its {@code order} is what it must know. */
+  public static final String LATE = "another process of this instance has joined meanwhile";
+
+  private static final Rules NO_RULES = new Rules(0, 4000, 1000, 1, 1, List.of());
+  private static final Comparator<Order> TURNS =
+      Comparator.<Order>comparingLong(o -> o.round - (o.ask.urgent() ? URGENT_ROUNDS : 0))
+          .thenComparingLong(o -> o.id);
+
+  private final Map<String, Instance> instances = new TreeMap<>();
+  private final Map<Long, Order> orders = new TreeMap<>();
+  private final Map<Long, Order> ended = new LinkedHashMap<>();
+
+  /** Places that are held or on their way back, by machine. */
+  private final Map<String, Order.Place> away = new TreeMap<>();
+
+  private Rules rules = NO_RULES;
+  private long nowMillis;
+  private long index;
+  private long nextOrder = 1;
+  private long round = 1;
+
+  /** Grows with every step of a machine. */
+  private long changes;
+
+  /**
+   * Takes the next entry of the log.
+   *
+   * @param entry its number
+   * @param stampMillis when whoever led took it, on the log's own clock
+   */
+  public Reply apply(long entry, long stampMillis, Command command) {
+    index = entry;
+    nowMillis = Math.max(nowMillis, stampMillis);
+    Reply reply;
+    if (command instanceof Command.Join join) {
+      reply = join(join);
+    } else if (command instanceof Command.Renew renew) {
+      reply = renew(renew, stampMillis);
+    } else if (command instanceof Command.Free free) {
+      reply = free(free);
+    } else if (command instanceof Command.Leave leave) {
+      reply = leave(leave);
+    } else if (command instanceof Command.Fence fence) {
+      reply = fence(fence);
+    } else if (command instanceof Command.Ask ask) {
+      reply = ask(ask);
+    } else if (command instanceof Command.Done done) {
+      reply = done(done);
+    } else if (command instanceof Command.Extend extend) {
+      reply = extend(extend);
+    } else {
+      reply = cancel((Command.Cancel) command);
+    }
+    settle();
+    return reply;
+  }
+
+  // ---- instances ----
+
+  private Reply join(Command.Join join) {
+    Instance instance = instances.get(join.instance());
+    if (instance == null) {
+      if (instances.size() >= MOST_INSTANCES) {
+        return Reply.no("there are " + MOST_INSTANCES + " instances already");
+      }
+      instance = new Instance(join.instance());
+      instances.put(join.instance(), instance);
+    } else if (instance.incarnation == join.incarnation()) {
+      return Reply.ok(0); // The same entry a second time.
+    } else if (instance.incarnation != join.before()) {
+      return new Reply(false, instance.incarnation, LATE);
+    }
+    instance.incarnation = join.incarnation();
+    instance.stops = join.stops();
+    instance.fenced = false;
+    instance.renewedMillis = nowMillis;
+    instance.report = null;
+    String said = takeRules(join.rules());
+    for (Order.Place place : away.values()) {
+      if (place.phase == Phase.EMPTYING) {
+        // It sends nothing before it has taken this entry, and all grants before it.
+        if (join.idle()) {
+          place.freed.add(instance.name);
+        } else {
+          place.freed.remove(instance.name);
+        }
+      }
+    }
+    return new Reply(true, 0, said);
+  }
+
+  private String takeRules(Rules stated) {
+    if (stated.version() > rules.version()) {
+      rules = stated;
+    } else if (stated.version() == rules.version() && !stated.equals(rules)) {
+      return "the rules of version " + rules.version() + " differ from those in force";
+    } else if (stated.version() < rules.version()) {
+      return "rules of version " + rules.version() + " are in force";
+    }
+    return "";
+  }
+
+  /** The instance if this process of it may speak, else null. */
+  private Instance speaking(String name, long incarnation) {
+    Instance instance = instances.get(name);
+    return instance == null || instance.fenced || instance.incarnation != incarnation
+        ? null
+        : instance;
+  }
+
+  private Reply renew(Command.Renew renew, long stampMillis) {
+    Instance instance = speaking(renew.instance(), renew.incarnation());
+    if (instance == null) {
+      return Reply.no("fenced; to join anew");
+    }
+    // The entry's own time, not the latest: the lease runs from before it was sent.
+    instance.renewedMillis = Math.max(instance.renewedMillis, stampMillis);
+    if (renew.report() != null) {
+      instance.report = renew.report();
+      instance.reportedMillis = nowMillis;
+    }
+    return Reply.ok(0);
+  }
+
+  private Reply free(Command.Free free) {
+    Instance instance = speaking(free.instance(), free.incarnation());
+    if (instance == null) {
+      return Reply.no("fenced; to join anew");
+    }
+    Order order = orders.get(free.order());
+    Order.Place place = order == null ? null : order.place(free.machine());
+    if (place != null && place.phase == Phase.EMPTYING) {
+      place.freed.add(instance.name);
+    }
+    return Reply.ok(free.order());
+  }
+
+  private Reply leave(Command.Leave leave) {
+    Instance instance = speaking(leave.instance(), leave.incarnation());
+    if (instance == null) {
+      return Reply.no("not there");
+    }
+    instance.fenced = true;
+    return Reply.ok(0);
+  }
+
+  private Reply fence(Command.Fence fence) {
+    Instance instance = instances.get(fence.instance());
+    if (instance == null) {
+      return Reply.no("no instance " + fence.instance());
+    }
+    instance.fenced = true;
+    return Reply.ok(0);
+  }
+
+  // ---- orders ----
+
+  private Reply ask(Command.Ask ask) {
+    for (Order order : orders.values()) {
+      if (order.ask.key().equals(ask.key())) {
+        return new Reply(true, order.id, "asked before");
+      }
+    }
+    String refused = refusal(ask);
+    if (refused != null) {
+      return Reply.no(refused);
+    }
+    long turn = round;
+    for (Order order : orders.values()) {
+      if (order.ask.who().equals(ask.who()) && order.waiting() > 0) {
+        turn = Math.max(turn, order.round + 1);
+      }
+    }
+    Order order = new Order(nextOrder++, ask, nowMillis, turn);
+    orders.put(order.id, order);
+    return Reply.ok(order.id);
+  }
+
+  /** Why it can never be granted, or null. */
+  private String refusal(Command.Ask ask) {
+    int machines = ask.machines().size();
+    if (machines == 0) {
+      return "names no machine";
+    }
+    if (ask.atOnce() < 1 || ask.forMillis() < 1) {
+      return "at least one machine at once, for some time, is expected";
+    }
+    if (orders.size() >= MOST_ORDERS) {
+      return "there are " + MOST_ORDERS + " orders already";
+    }
+    long all = machines;
+    for (Order order : orders.values()) {
+      all += order.places().size();
+    }
+    if (all > MOST_MACHINES) {
+      return "more than " + MOST_MACHINES + " machines in all orders";
+    }
+    if (ask.after() != 0 && !orders.containsKey(ask.after()) && !ended.containsKey(ask.after())) {
+      return "comes after order " + ask.after() + ", which there is not";
+    }
+    if (rules.mostOut() < 1 || rules.mostOutInCell() < 1) {
+      return "no machine may be out by the rules of version " + rules.version();
+    }
+    Set<Group> looked = new HashSet<>();
+    Set<String> ids = new HashSet<>();
+    for (Machine machine : ask.machines()) {
+      if (!ids.add(machine.id())) {
+        return "names " + machine.id() + " twice";
+      }
+      for (Floor floor : rules.floors()) {
+        // Groups of like servers are judged once; a heavier one waits, if need be for good.
+        if (floor.covers(machine.group()) && looked.add(machine.group())) {
+          double listed = listed(floor);
+          if (listed > 0 && listed - machine.weight() < floor.least() * listed) {
+            return machine.id() + " can never go: " + floor + " allows no machine of its weight";
+          }
+        }
+      }
+    }
+    return null;
+  }
+
+  private Reply done(Command.Done done) {
+    Order order = orders.get(done.order());
+    if (order == null) {
+      return Reply.no("no order " + done.order());
+    }
+    int back = 0;
+    for (Order.Place place : order.places()) {
+      if (place.phase == Phase.OUT
+          && (done.machine() == null || place.machine.id().equals(done.machine()))) {
+        move(place, Phase.RETURNING);
+        back++;
+      }
+    }
+    return back > 0 ? Reply.ok(order.id) : Reply.no("nothing of order " + order.id + " is out");
+  }
+
+  private Reply extend(Command.Extend extend) {
+    Order order = orders.get(extend.order());
+    if (order == null || extend.millis() < 1) {
+      return Reply.no("no order " + extend.order() + " that could be extended so");
+    }
+    for (Order.Place place : order.places()) {
+      if (place.phase == Phase.OUT) {
+        place.dueMillis = Math.max(place.dueMillis, nowMillis) + extend.millis();
+      }
+    }
+    return Reply.ok(order.id);
+  }
+
+  private Reply cancel(Command.Cancel cancel) {
+    Order order = orders.get(cancel.order());
+    if (order == null) {
+      return Reply.no("no order " + cancel.order());
+    }
+    boolean out = false;
+    for (Order.Place place : order.places()) {
+      if (place.phase == Phase.WAITING || place.phase == Phase.EMPTYING) {
+        move(place, Phase.ABANDONED);
+      }
+      out |= place.phase == Phase.OUT;
+    }
+    // Somebody may have a hand in what is out: that comes back by "done" alone.
+    return new Reply(true, order.id, out ? "machines are out; done puts them back" : "");
+  }
+
+  private void move(Order.Place place, Phase to) {
+    place.order.move(place, to, index, nowMillis);
+    changes++;
+    if (to.ended()) {
+      away.remove(place.machine.id());
+    } else {
+      away.put(place.machine.id(), place);
+    }
+  }
+
+  // ---- what follows from an entry ----
+
+  private void settle() {
+    for (Instance instance : instances.values()) {
+      if (instance.stops
+          && nowMillis - instance.renewedMillis >= rules.leaseMillis() + rules.marginMillis()) {
+        instance.fenced = true;
+      }
+    }
+    for (Order.Place place : List.copyOf(away.values())) {
+      if (place.phase == Phase.EMPTYING && waitsFor(place).isEmpty()) {
+        move(place, Phase.OUT);
+        place.dueMillis = nowMillis + place.order.ask.forMillis();
+      } else if (place.phase == Phase.RETURNING && warm(place)) {
+        move(place, Phase.DONE);
+      }
+    }
+    for (Order order : orders.values()) {
+      if (order.waiting() > 0
+          && order.ask.notAfterMillis() > 0
+          && nowMillis - order.askedMillis > order.ask.notAfterMillis()) {
+        for (Order.Place place : order.places()) {
+          if (place.phase == Phase.WAITING) {
+            move(place, Phase.ABANDONED);
+          }
+        }
+      }
+    }
+    grant();
+    for (Order order : List.copyOf(orders.values())) {
+      if (order.over()) {
+        orders.remove(order.id);
+        ended.put(order.id, order);
+        if (ended.size() > MOST_ENDED) {
+          ended.remove(ended.keySet().iterator().next());
+        }
+      }
+    }
+  }
+
+  /** The instances that may still send to a machine that is being emptied. */
+  private List<String> waitsFor(Order.Place place) {
+    List<String> names = new ArrayList<>();
+    for (Instance instance : instances.values()) {
+      if (!instance.fenced && !place.freed.contains(instance.name)) {
+        names.add(instance.name);
+      }
+    }
+    return names;
+  }
+
+  /** Seen in full service by all who have looked since it came back, and by one at least. */
+  private boolean warm(Order.Place place) {
+    boolean seen = false;
+    for (Instance instance : instances.values()) {
+      if (fresh(instance)) {
+        if (instance.report.index() < place.index
+            || !instance.report.warm().contains(place.machine.id())) {
+          return false;
+        }
+        seen = true;
+      }
+    }
+    return seen;
+  }
+
+  /**
+   * Grants what may go, in the order of turns. Whoever has to wait for capacity keeps it for
+   * itself: nobody behind takes what it waits for, so that it gets it in the end.
+   */
+  private void grant() {
+    List<Order> turns = new ArrayList<>();
+    for (Order order : orders.values()) {
+      if (order.waiting() > 0) {
+        turns.add(order);
+      }
+    }
+    turns.sort(TURNS);
+    Set<Object> kept = new HashSet<>();
+    for (Order order : turns) {
+      for (Order.Place place : order.places()) {
+        if (place.phase != Phase.WAITING) {
+          continue;
+        }
+        if (ownObstacle(order) != null) {
+          break;
+        }
+        if (kept(place.machine, kept)) {
+          continue;
+        }
+        if (away.containsKey(place.machine.id())) {
+          continue; // With another order, or not yet warm again.
+        }
+        Obstacle obstacle = obstacle(place.machine);
+        if (obstacle == null) {
+          move(place, Phase.EMPTYING);
+          round = Math.max(round, order.round);
+        } else {
+          kept.add(obstacle.keeps());
+          if (obstacle.keeps() == this) {
+            return;
+          }
+        }
+      }
+    }
+  }
+
+  private static boolean kept(Machine machine, Set<Object> kept) {
+    if (kept.isEmpty()) {
+      return false;
+    }
+    if (kept.contains(machine.cell())) {
+      return true;
+    }
+    for (Object each : kept) {
+      if (each instanceof Floor floor && floor.covers(machine.group())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Why no machine of an order may go, for reasons of its own. */
+  private String ownObstacle(Order order) {
+    if (order.held() >= order.ask.atOnce()) {
+      return "has " + order.held() + " machines out, " + order.ask.atOnce() + " at once at most";
+    }
+    if (nowMillis - order.askedMillis < order.ask.notBeforeMillis()) {
+      return "not before "
+          + (order.ask.notBeforeMillis() - nowMillis + order.askedMillis)
+          + " ms from now";
+    }
+    Order before = orders.get(order.ask.after());
+    return before != null && !before.doneWith() ? "comes after order " + before.id : null;
+  }
+
+  /** Why a machine may not go now, and what is to be kept for it. */
+  private record Obstacle(String reason, Object keeps) {}
+
+  private Obstacle obstacle(Machine machine) {
+    int out = 0;
+    int outInCell = 0;
+    for (Order.Place place : away.values()) {
+      if (place.phase.held()) {
+        out++;
+        outInCell += place.machine.cell() == machine.cell() ? 1 : 0;
+      }
+    }
+    if (out >= rules.mostOut()) {
+      return new Obstacle(out + " machines are out, " + rules.mostOut() + " at most", this);
+    }
+    if (outInCell >= rules.mostOutInCell()) {
+      return new Obstacle(
+          outInCell
+              + " machines of cell "
+              + machine.cell()
+              + " are out, "
+              + rules.mostOutInCell()
+              + " at most",
+          machine.cell());
+    }
+    for (Floor floor : rules.floors()) {
+      if (floor.covers(machine.group())) {
+        Worth worth = worth(floor);
+        double least = floor.least() * listed(floor);
+        if (worth == null || worth.weight() - machine.weight() < least) {
+          return new Obstacle(
+              worth == null
+                  ? "no balancer says what is in service"
+                  : String.format(
+                      Locale.ROOT,
+                      "%s: %s sees %.2f in service, %.2f must be left",
+                      floor,
+                      worth.seenBy(),
+                      worth.weight(),
+                      least),
+              floor);
+        }
+      }
+    }
+    return null;
+  }
+
+  private boolean fresh(Instance instance) {
+    return !instance.fenced
+        && instance.report != null
+        && nowMillis - instance.reportedMillis <= REPORT_MILLIS;
+  }
+
+  /** The weight that the most generous list names. */
+  private double listed(Floor floor) {
+    double most = 0;
+    for (Instance instance : instances.values()) {
+      if (fresh(instance)) {
+        double sum = 0;
+        for (Map.Entry<Group, Report.Capacity> group : instance.report.groups().entrySet()) {
+          sum += floor.covers(group.getKey()) ? group.getValue().listed() : 0;
+        }
+        most = Math.max(most, sum);
+      }
+    }
+    return most;
+  }
+
+  /** What is in service, and who says so. */
+  private record Worth(double weight, String seenBy) {}
+
+  /**
+   * What is in service by whoever sees least; null where nobody says. What was granted after
+   * somebody looked is taken off what was seen.
+   */
+  private Worth worth(Floor floor) {
+    Worth least = null;
+    for (Instance instance : instances.values()) {
+      if (fresh(instance)) {
+        double sum = 0;
+        for (Map.Entry<Group, Report.Capacity> group : instance.report.groups().entrySet()) {
+          sum += floor.covers(group.getKey()) ? group.getValue().worth() : 0;
+        }
+        for (Order.Place place : away.values()) {
+          boolean unseen = place.phase.held() && place.grantedAfter(instance.report.index());
+          sum -= unseen && floor.covers(place.machine.group()) ? place.machine.weight() : 0;
+        }
+        if (least == null || sum < least.weight()) {
+          least = new Worth(sum, instance.name);
+        }
+      }
+    }
+    return least;
+  }
+
+  // ---- what is asked of it ----
+
+  /** Grows with every step of a machine. */
+  public long changes() {
+    return changes;
+  }
+
+  /** The last entry that was taken. */
+  public long index() {
+    return index;
+  }
+
+  public long nowMillis() {
+    return nowMillis;
+  }
+
+  public Rules rules() {
+    return rules;
+  }
+
+  /** Where the machines stand that are held or on their way back. */
+  public record Away(long order, String machine, String address, Phase phase, long index) {}
+
+  public List<Away> away() {
+    List<Away> list = new ArrayList<>(away.size());
+    for (Order.Place place : away.values()) {
+      list.add(
+          new Away(
+              place.order.id,
+              place.machine.id(),
+              place.machine.address(),
+              place.phase,
+              place.index));
+    }
+    return list;
+  }
+
+  /** Whether this process of an instance has joined and was not fenced since. */
+  public boolean joined(String instance, long incarnation) {
+    return speaking(instance, incarnation) != null;
+  }
+
+  /** The latest process of an instance, 0 for none. */
+  public long incarnation(String instance) {
+    Instance known = instances.get(instance);
+    return known == null ? 0 : known.incarnation;
+  }
+
+  /** The orders that can be shown, the latest last. */
+  public List<Long> orders() {
+    List<Long> ids = new ArrayList<>(ended.keySet());
+    ids.addAll(orders.keySet());
+    return ids;
+  }
+
+  private Order find(long id) {
+    Order order = orders.get(id);
+    return order == null ? ended.get(id) : order;
+  }
+
+  /** How many machines of an order stand where; null where there is no such order. */
+  public Map<Phase, Integer> phases(long id) {
+    Order order = find(id);
+    if (order == null) {
+      return null;
+    }
+    Map<Phase, Integer> phases = new TreeMap<>();
+    for (Order.Place place : order.places()) {
+      phases.merge(place.phase, 1, Integer::sum);
+    }
+    return phases;
+  }
+
+  /** What is wanted, or null. */
+  public Command.Ask wanted(long id) {
+    Order order = find(id);
+    return order == null ? null : order.ask;
+  }
+
+  /** One machine of an order as it is shown. */
+  public record Standing(
+      String machine, Phase phase, long sinceMillis, boolean overdue, String waitsFor) {}
+
+  /** So many machines of an order at most, those first that wait or are away. */
+  public List<Standing> standings(long id, int most) {
+    List<Standing> list = new ArrayList<>();
+    Order order = find(id);
+    Collection<Order.Place> places = order == null ? List.of() : order.places();
+    for (int pass = 0; pass < 2; pass++) {
+      for (Order.Place place : places) {
+        if (list.size() < most && place.phase.ended() == (pass == 1)) {
+          list.add(
+              new Standing(
+                  place.machine.id(),
+                  place.phase,
+                  nowMillis - place.sinceMillis,
+                  place.overdue(nowMillis),
+                  why(place)));
+        }
+      }
+    }
+    return list;
+  }
+
+  /** Why a machine is not further on; empty where nothing holds it up. */
+  private String why(Order.Place place) {
+    switch (place.phase) {
+      case EMPTYING -> {
+        return "calls in flight, or news, of " + heard(waitsFor(place));
+      }
+      case RETURNING -> {
+        return "not yet warm for every balancer";
+      }
+      case WAITING -> {
+        String own = ownObstacle(place.order);
+        Order.Place other = away.get(place.machine.id());
+        if (own != null || other != null) {
+          return own != null ? own : "away with order " + other.order.id;
+        }
+        Obstacle obstacle = obstacle(place.machine);
+        return obstacle == null ? "an earlier turn" : obstacle.reason();
+      }
+      default -> {
+        return place.overdue(nowMillis) ? "overdue: done, extend, or see to it" : "";
+      }
+    }
+  }
+
+  private String heard(List<String> names) {
+    List<String> words = new ArrayList<>();
+    for (String name : names) {
+      long ago = nowMillis - instances.get(name).renewedMillis;
+      words.add(name + " (heard " + ago + " ms ago)");
+    }
+    return String.join(", ", words);
+  }
+
+  /** An instance as it is shown. */
+  public record Seen(String name, boolean stops, boolean fenced, long heardMillisAgo) {}
+
+  public List<Seen> instances() {
+    List<Seen> list = new ArrayList<>();
+    for (Instance each : instances.values()) {
+      list.add(new Seen(each.name, each.stops, each.fenced, nowMillis - each.renewedMillis));
+    }
+    return list;
+  }
+
+  // ---- kept and taken up again ----
+
+  /** All of it as a tree, see {@link Form}. */
+  public Map<String, Object> save() {
+    Map<String, Object> tree = new LinkedHashMap<>();
+    tree.put("index", index);
+    tree.put("now_ms", nowMillis);
+    tree.put("next_order", nextOrder);
+    tree.put("round", round);
+    tree.put("rules", Form.of(rules));
+    List<Object> rows = new ArrayList<>();
+    for (Instance each : instances.values()) {
+      Map<String, Object> row = new LinkedHashMap<>();
+      row.put("name", each.name);
+      row.put("incarnation", each.incarnation);
+      row.put("stops", each.stops);
+      row.put("fenced", each.fenced);
+      row.put("renewed_ms", each.renewedMillis);
+      row.put("reported_ms", each.reportedMillis);
+      if (each.report != null) {
+        row.put("report", Form.of(each.report));
+      }
+      rows.add(row);
+    }
+    tree.put("instances", rows);
+    tree.put("orders", save(orders.values()));
+    tree.put("ended", save(ended.values()));
+    return tree;
+  }
+
+  private static List<Object> save(Collection<Order> orders) {
+    List<Object> rows = new ArrayList<>();
+    for (Order order : orders) {
+      Map<String, Object> row = new LinkedHashMap<>();
+      row.put("id", order.id);
+      row.put("asked_ms", order.askedMillis);
+      row.put("round", order.round);
+      row.put("ask", Form.of(order.ask));
+      List<Object> places = new ArrayList<>();
+      for (Order.Place place : order.places()) {
+        places.add(
+            List.of(
+                place.phase.name(),
+                place.index,
+                place.sinceMillis,
+                place.grantedIndex,
+                place.dueMillis,
+                new ArrayList<>(place.freed)));
+      }
+      row.put("places", places);
+      rows.add(row);
+    }
+    return rows;
+  }
+
+  /** What was saved. */
+  public static Settled load(Map<?, ?> tree) {
+    Settled settled = new Settled();
+    settled.index = Form.whole(tree, "index");
+    settled.nowMillis = Form.whole(tree, "now_ms");
+    settled.nextOrder = Form.whole(tree, "next_order");
+    settled.round = Form.whole(tree, "round");
+    settled.rules = Form.rules(Form.map(tree, "rules"));
+    for (Object each : Form.list(tree, "instances")) {
+      Map<?, ?> row = (Map<?, ?>) each;
+      Instance instance = new Instance(Form.text(row, "name"));
+      instance.incarnation = Form.whole(row, "incarnation");
+      instance.stops = Form.flag(row, "stops");
+      instance.fenced = Form.flag(row, "fenced");
+      instance.renewedMillis = Form.whole(row, "renewed_ms");
+      instance.reportedMillis = Form.whole(row, "reported_ms");
+      instance.report = row.containsKey("report") ? Form.report(Form.map(row, "report")) : null;
+      settled.instances.put(instance.name, instance);
+    }
+    settled.load(Form.list(tree, "orders"), settled.orders);
+    settled.load(Form.list(tree, "ended"), settled.ended);
+    return settled;
+  }
+
+  private void load(List<?> rows, Map<Long, Order> into) {
+    for (Object each : rows) {
+      Map<?, ?> row = (Map<?, ?>) each;
+      Order order =
+          new Order(
+              Form.whole(row, "id"),
+              Form.ask(Form.map(row, "ask")),
+              Form.whole(row, "asked_ms"),
+              Form.whole(row, "round"));
+      int at = 0;
+      List<?> places = Form.list(row, "places");
+      for (Order.Place place : order.places()) {
+        List<?> fields = (List<?>) places.get(at++);
+        order.move(
+            place,
+            Phase.valueOf((String) fields.get(0)),
+            ((Number) fields.get(1)).longValue(),
+            ((Number) fields.get(2)).longValue());
+        place.grantedIndex = ((Number) fields.get(3)).longValue();
+        place.dueMillis = ((Number) fields.get(4)).longValue();
+        for (Object name : (List<?>) fields.get(5)) {
+          place.freed.add((String) name);
+        }
+        if (place.phase != Phase.WAITING && !place.phase.ended()) {
+          away.put(place.machine.id(), place);
+          changes++;
+        }
+      }
+      into.put(order.id, order);
+    }
+  }
+}
--- a/src/test/java/architecture/BordersTest.java
+++ b/src/test/java/architecture/BordersTest.java
@@ -37,7 +37,8 @@
             "meadowtrack.api..",
             "meadowtrack.members..",
             "meadowtrack.gateway..",
-            "meadowtrack.grpc..")
+            "meadowtrack.grpc..",
+            "meadowtrack.work..")
         .should()
         .onlyDependOnClassesThat(
             resideInAnyPackage(
@@ -45,7 +46,8 @@
                     "meadowtrack.api..",
                     "meadowtrack.members..",
                     "meadowtrack.gateway..",
-                    "meadowtrack.grpc..")
+                    "meadowtrack.grpc..",
+                    "meadowtrack.work..")
                 .or(resideInAnyPackage("java.lang", "java.util", "java.util.function"))
                 .or(resideInAnyPackage("java.lang.invoke", "java.lang.runtime"))
                 .or(resideInAPackage("java.util.stream")))
@@ -62,7 +64,8 @@
             "meadowtrack.api..",
             "meadowtrack.members..",
             "meadowtrack.gateway..",
-            "meadowtrack.grpc..")
+            "meadowtrack.grpc..",
+            "meadowtrack.work..")
         .should()
         .callMethod(System.class, "nanoTime")
         .orShould()
@@ -111,6 +114,8 @@
             "maplehall.admin..",
             "maplehall.grpc..",
             "maplehall.gateway..",
+            "maplehall.agreement..",
+            "maplehall.work..",
             "maplehall.cli..")
         .check(all);
   }
@@ -134,7 +139,34 @@
             "picocli..",
             "org.HdrHistogram..",
             "io.netty.handler.codec.http2..",
-            "java.lang.management..")
+            "java.lang.management..",
+            "org.apache.ratis..",
+            "org.slf4j..",
+            "ch.qos.logback..")
+        .check(all);
+  }
+
+  /** What is off in an installation costs it nothing, and the library can be another one day. */
+  @Test
+  void onlyTheLogKnowsItsLibrary() {
+    noClasses()
+        .that(not(resideInAPackage("maplehall.agreement..")))
+        .should()
+        .dependOnClassesThat()
+        .resideInAPackage("org.apache.ratis..")
+        .check(all);
+    noClasses()
+        .that(
+            not(
+                resideInAnyPackage(
+                    "maplehall.work..",
+                    "maplehall.standalone..",
+                    "maplehall.cli..",
+                    "meadowtrack.work..",
+                    "loadrig..")))
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage("maplehall.work..", "meadowtrack.work..")
         .check(all);
   }
 
--- /dev/null
+++ b/src/test/java/maplehall/work/WorkTest.java
@@ -0,0 +1,158 @@
+package maplehall.work;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import loadrig.client.OpenLoop;
+import loadrig.fleet.Fleet;
+import loadrig.fleet.Node;
+import loadrig.fleet.Terms;
+import loadrig.server.ServiceTime;
+import loadrig.server.Shape;
+import org.junit.jupiter.api.Test;
+import testing.Await;
+
+/** Several processes of the program settle which machine goes out, with faults between them. */
+class WorkTest {
+  private static final Shape SHAPE = Shape.warm(8, 64, ServiceTime.exponential(3));
+
+  private final List<OpenLoop> loads = new ArrayList<>();
+
+  private void load(Fleet fleet) {
+    fleet.nodes().forEach(node -> loads.add(fleet.load(node, 60)));
+  }
+
+  private static long ask(Node node, String machine) throws IOException {
+    Map<String, Object> answer =
+        node.post("work/ask?key=" + machine + "&who=me&why=disk&for_ms=600000&machine=" + machine);
+    return ((Number) answer.get("order")).longValue();
+  }
+
+  private static String phase(Node node, long order) {
+    try {
+      Object rows = node.get("work/" + order).get("standings");
+      return String.valueOf(((Map<?, ?>) ((List<?>) rows).get(0)).get("phase"));
+    } catch (IOException e) {
+      return "unknown";
+    }
+  }
+
+  private static void awaitOut(Fleet fleet, Node node, long order, String machine)
+      throws InterruptedException {
+    Await.until(machine + " is out", () -> phase(node, order).equals("out"));
+    fleet.history().out(machine);
+  }
+
+  private static void done(Fleet fleet, Node node, long order, String machine) throws IOException {
+    fleet.history().back(machine);
+    node.post("work/done/" + order);
+  }
+
+  private void verdict(Fleet fleet) throws InterruptedException {
+    for (OpenLoop load : loads) {
+      load.stop();
+    }
+    assertEquals(List.of(), fleet.history().breaches(), () -> fleet.history().notes().toString());
+    assertEquals(0, fleet.ledger().doubles(id -> id.contains("publish")));
+  }
+
+  /** The first that counts: three processes, one machine, and the death of whoever led. */
+  @Test
+  void aMachineGoesOutAndAnotherAfterTheDeathOfWhoeverLed() throws Exception {
+    try (Fleet fleet = new Fleet(1)) {
+      fleet.servers(3, "front", SHAPE).start(3, 3, Terms.stopping(2000, 2));
+      load(fleet);
+      Await.until("calls", () -> fleet.servers().get(0).received() > 50);
+      Node leader = fleet.leader();
+      assertNotNull(leader);
+      Node asked = fleet.nodes().stream().filter(node -> node != leader).findFirst().get();
+      long first = ask(asked, "front-1");
+      assertEquals(first, ask(leader, "front-1"), "the same request at another is one order");
+      awaitOut(fleet, asked, first, "front-1");
+      long received = fleet.servers().get(0).received();
+      fleet.history().note("kill " + leader.name());
+      leader.kill();
+      long second = ask(asked, "front-2");
+      awaitOut(fleet, asked, second, "front-2");
+      assertEquals(received, fleet.servers().get(0).received());
+      done(fleet, asked, first, "front-1");
+      Await.until("back", () -> fleet.servers().get(0).received() > received);
+      leader.start();
+      Await.until("the dead one serves again", leader::serves);
+      Await.until("it knows", () -> phase(leader, second).equals("out"));
+      done(fleet, leader, second, "front-2");
+      Await.until("done", () -> phase(asked, second).equals("done"));
+      verdict(fleet);
+    }
+  }
+
+  /** It sleeps through the grant, is fenced meanwhile, and sends nothing there when it wakes. */
+  @Test
+  void anInstanceThatWasStoppedSendsNothingWhenItWakes() throws Exception {
+    try (Fleet fleet = new Fleet(2)) {
+      fleet.servers(3, "front", SHAPE).start(3, 3, Terms.stopping(1500, 1));
+      load(fleet);
+      Node leader = fleet.leader();
+      Node stopped = fleet.nodes().stream().filter(node -> node != leader).findFirst().get();
+      Await.until("calls", () -> fleet.servers().get(0).received() > 50);
+      fleet.history().note("stop " + stopped.name());
+      stopped.pause();
+      long order = ask(leader, "front-1");
+      awaitOut(fleet, leader, order, "front-1");
+      Thread.sleep(500); // Its clients go on meanwhile: their calls wait for it in its sockets.
+      long received = fleet.servers().get(0).received();
+      fleet.history().note("wake " + stopped.name());
+      stopped.resume();
+      Await.until("it is back", () -> !fenced(leader, stopped) && stopped.serves());
+      long others = fleet.servers().get(1).received();
+      Await.until("it serves", () -> fleet.servers().get(1).received() > others + 100);
+      assertEquals(received, fleet.servers().get(0).received());
+      done(fleet, leader, order, "front-1");
+      verdict(fleet);
+    }
+  }
+
+  private static boolean fenced(Node node, Node of) {
+    try {
+      for (Object each : (List<?>) node.get("work").get("instances")) {
+        Map<?, ?> row = (Map<?, ?>) each;
+        if (row.get("name").equals(of.name())) {
+          return Boolean.TRUE.equals(row.get("fenced"));
+        }
+      }
+      return true;
+    } catch (IOException e) {
+      return true;
+    }
+  }
+
+  /** Under "serve" nobody goes without the one that is cut off, and it says for whom it waits. */
+  @Test
+  void anOrderWaitsForOneThatIsCutOffAndServes() throws Exception {
+    try (Fleet fleet = new Fleet(3)) {
+      fleet.servers(3, "front", SHAPE).start(4, 3, Terms.serving(1));
+      load(fleet);
+      Node away = fleet.node(4);
+      List<Node> rest = fleet.nodes().subList(0, 3);
+      fleet.split(rest, List.of(away), true);
+      long order = ask(rest.get(0), "front-1");
+      Await.until("emptying", () -> phase(rest.get(0), order).equals("emptying"));
+      Thread.sleep(1500);
+      Object rows = rest.get(0).get("work/" + order).get("standings");
+      String waits = String.valueOf(((Map<?, ?>) ((List<?>) rows).get(0)).get("waits_for"));
+      assertTrue(waits.contains("edge-4") && !waits.contains("edge-1"), waits);
+      long before = fleet.servers().get(0).received();
+      Await.until("it serves", () -> fleet.servers().get(0).received() > before + 5);
+      fleet.split(rest, List.of(away), false);
+      awaitOut(fleet, rest.get(0), order, "front-1");
+      Await.until("it knows", () -> phase(away, order).equals("out"));
+      done(fleet, away, order, "front-1");
+      verdict(fleet);
+    }
+  }
+}
--- a/src/test/java/meadowtrack/core/BegunTest.java
+++ b/src/test/java/meadowtrack/core/BegunTest.java
@@ -57,7 +57,7 @@
       harness.advance((slow.server() == 1 ? 300 : 3) * Harness.MS);
       harness.outcome(slow, Outcome.OK, true);
     }
-    assertTrue(harness.balancer.load(1)[1] >= DelayWindow.START, "the window was cut");
+    assertTrue(harness.balancer.load(harness.now, 1)[1] >= DelayWindow.START, "the window was cut");
   }
 
   @Test
