--- a/src/main/java/loadrig/explore/AttemptsMeasurement.java
+++ b/src/main/java/loadrig/explore/AttemptsMeasurement.java
@@ -1,8 +1,8 @@
 package loadrig.explore;
 
-import java.nio.file.Path;
 import loadrig.measure.Figures;
 import loadrig.measure.Measurement;
+import loadrig.mutants.Mutant;
 
 /** Every order of events in small worlds, and whether faults that are put in are found. */
 public final class AttemptsMeasurement implements Measurement {
@@ -17,15 +17,12 @@
     Explorer explorer = new Explorer(depth, false).run();
     double seconds = (System.nanoTime() - since) / 1e9;
     explorer.findings().forEach(finding -> Figures.progress(finding.toString()));
-    String jar = System.getProperty("heathswitch.jar", System.getProperty("java.class.path"));
-    Path sources = Path.of(System.getProperty("heathswitch.root", "."), "src", "main", "java");
-    MutantRun mutants = new MutantRun(sources, jar);
+    MutantRun mutants = new MutantRun();
     int found = 0;
-    for (Mutant mutant : Mutant.ALL) {
+    for (Mutant mutant : Mutants.ALL) {
       int steps = mutants.steps(mutant, MUTANT_DEPTH);
       found += steps > 0 ? 1 : 0;
-      String what = mutant.text().strip().replaceAll("\\s+", " ");
-      Figures.progress((steps > 0 ? "found by " + steps : "NOT FOUND") + ": " + what);
+      Figures.progress((steps > 0 ? "found by " + steps : "NOT FOUND") + ": " + mutant);
     }
     return new Figures()
         .add("depth", depth)
@@ -33,7 +30,7 @@
         .add("states", explorer.states())
         .add("transitions", explorer.transitions())
         .add("violations", explorer.findings().size())
-        .add("mutants", Mutant.ALL.size())
+        .add("mutants", Mutants.ALL.size())
         .add("mutants_found", found)
         .rounded("states_per_s", explorer.states() / seconds);
   }
--- a/src/main/java/loadrig/explore/Mutant.java
+++ b/src/main/java/loadrig/explore/Mutants.java
@@ -1,12 +1,10 @@
 package loadrig.explore;
 
 import java.util.List;
+import loadrig.mutants.Mutant;
 
-/**
- * A fault that is put into a copy of a class: a text that stands once in its source, and what
- * stands there instead. The sources themselves know nothing of it.
- */
-record Mutant(String type, String text, String instead) {
+/** Faults in what carries an attempt. */
+final class Mutants {
   private static final String DISPATCHER = "maplehall.dispatch.Dispatcher";
   private static final String LIVE = "maplehall.dispatch.LiveRequest";
   private static final String BALANCER = "meadowtrack.core.Balancer";
@@ -91,4 +89,6 @@
               MEMBERSHIP, "    if (server.health != Health.READY) {\n      return;\n    }\n", ""),
           new Mutant(MEMBERSHIP, "      setOf(server).remove(server);\n", ""),
           new Mutant(ENTRY, "    inFlight--;\n", ""));
+
+  private Mutants() {}
 }
--- /dev/null
+++ b/src/main/java/loadrig/work/Sim.java
@@ -0,0 +1,206 @@
+package loadrig.work;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import meadowtrack.work.Command;
+import meadowtrack.work.Group;
+import meadowtrack.work.Participant;
+import meadowtrack.work.Phase;
+import meadowtrack.work.Report;
+import meadowtrack.work.Rules;
+import meadowtrack.work.Settled;
+
+/** One instance in virtual time: the real participant and the real state, with calls in flight. */
+final class Sim implements Participant.Here {
+  private static final int ENDING_STEPS = 6;
+  private static final long RETURN_NANOS = 300_000_000L;
+
+  /** A call that was decided, and whether its first byte has been written. */
+  static final class Call {
+    final String machine;
+    boolean written;
+
+    Call(String machine) {
+      this.machine = machine;
+    }
+  }
+
+  final String name;
+  private final World world;
+  private final Rules rules;
+  private final boolean stops;
+
+  /** How fast its clock runs, and where it began; both are its own. */
+  private final double rate;
+
+  private final long offset;
+  Participant participant;
+  Settled settled;
+
+  /** Entries of the log that it has taken. */
+  int taken;
+
+  boolean alive = true;
+  boolean paused;
+
+  /** Neither what it says nor what it should take comes through. */
+  boolean cut;
+
+  /** Steps since its lease has ended. */
+  private int ended;
+
+  final List<Call> calls = new ArrayList<>();
+  private final Map<String, Long> backNanos = new HashMap<>();
+
+  Sim(World world, String name, Rules rules, boolean stops, double rate, long offset) {
+    this.world = world;
+    this.name = name;
+    this.rules = rules;
+    this.stops = stops;
+    this.rate = rate;
+    this.offset = offset;
+    settled = new Settled();
+    participant = new Participant(name, stops, 100, rules);
+  }
+
+  long clock() {
+    return offset + (long) (world.now() * rate);
+  }
+
+  boolean runs() {
+    return alive && !paused;
+  }
+
+  void kill() {
+    alive = false;
+    paused = false;
+    calls.clear();
+  }
+
+  /** A new process, which knows what its disk has; with none it takes the whole log anew. */
+  void start(boolean disk) {
+    alive = true;
+    participant = new Participant(name, stops, 100, rules);
+    backNanos.clear();
+    if (disk) {
+      settled = Settled.load(settled.save());
+    } else {
+      settled = new Settled();
+      taken = 0;
+    }
+  }
+
+  void take(long index, long stampMillis, Command command) {
+    settled.apply(index, stampMillis, command);
+    taken++;
+    for (Settled.Away each : settled.away()) {
+      if (each.phase() == Phase.RETURNING) {
+        backNanos.putIfAbsent(each.machine(), clock());
+      } else {
+        backNanos.remove(each.machine());
+      }
+    }
+  }
+
+  boolean holds(String machine) {
+    for (Settled.Away each : settled.away()) {
+      if (each.machine().equals(machine) && each.phase().held()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** A request comes and is given to a machine, if it may be. */
+  void decide(String machine) {
+    if (participant.maySend(clock()) && !holds(machine)) {
+      calls.add(new Call(machine));
+    }
+  }
+
+  /** The oldest call that was decided is written, looked at once more right before. */
+  void write() {
+    for (Call call : calls) {
+      if (!call.written) {
+        if (participant.maySend(clock())) {
+          call.written = true;
+          world.began(this, call.machine);
+        } else {
+          calls.remove(call); // Ends as never sent.
+        }
+        return;
+      }
+    }
+  }
+
+  void step() {
+    boolean over = stops && !participant.maySend(clock());
+    ended = over ? ended + 1 : 0;
+    if (ended >= ENDING_STEPS) {
+      calls.clear(); // What is owed at the end of the lease is given up, if a moment later.
+    }
+    for (Command command : participant.step(clock(), this)) {
+      world.said(this, command);
+    }
+  }
+
+  // ---- what the participant sees ----
+
+  @Override
+  public long incarnation() {
+    return settled.incarnation(name);
+  }
+
+  @Override
+  public boolean joined(long incarnation) {
+    return settled.joined(name, incarnation);
+  }
+
+  @Override
+  public Report report() {
+    double worth = World.MACHINES.size();
+    List<String> warm = new ArrayList<>();
+    for (Settled.Away each : settled.away()) {
+      boolean returned =
+          each.phase() == Phase.RETURNING
+              && clock() - backNanos.getOrDefault(each.machine(), clock()) >= RETURN_NANOS;
+      worth -= returned ? 0 : 1;
+      if (returned) {
+        warm.add(each.machine());
+      }
+    }
+    Map<Group, Report.Capacity> groups = new TreeMap<>((a, b) -> a.kind().compareTo(b.kind()));
+    groups.put(World.GROUP, new Report.Capacity(World.MACHINES.size(), worth));
+    return new Report(settled.index(), groups, new java.util.HashSet<>(warm));
+  }
+
+  @Override
+  public boolean idle() {
+    return calls.isEmpty();
+  }
+
+  @Override
+  public List<Settled.Away> empty() {
+    List<Settled.Away> empty = new ArrayList<>();
+    for (Settled.Away each : settled.away()) {
+      if (each.phase() == Phase.EMPTYING
+          && calls.stream().noneMatch(call -> call.machine.equals(each.machine()))) {
+        empty.add(each);
+      }
+    }
+    return empty;
+  }
+
+  @Override
+  public long leaseMillis() {
+    return settled.rules().leaseMillis();
+  }
+
+  @Override
+  public long draw() {
+    return world.draw();
+  }
+}
--- /dev/null
+++ b/src/main/java/loadrig/work/WorkMutants.java
@@ -0,0 +1,82 @@
+package loadrig.work;
+
+import java.lang.reflect.Method;
+import java.util.List;
+import loadrig.mutants.Copies;
+import loadrig.mutants.Mutant;
+
+/** Faults in what settles work orders, and whether the schedules find them. */
+final class WorkMutants {
+  private static final String SETTLED = "meadowtrack.work.Settled";
+  private static final String ORDER = "meadowtrack.work.Order";
+  private static final String PARTICIPANT = "meadowtrack.work.Participant";
+  private static final String CLOCK = "meadowtrack.work.LogClock";
+  private static final String PHASE = "meadowtrack.work.Phase";
+
+  static final List<Mutant> ALL =
+      List.of(
+          new Mutant(SETTLED, "if (!instance.fenced && !place.freed", "if (!place.freed"),
+          new Mutant(SETTLED, "&& waitsFor(place).isEmpty()) {", ") {"),
+          new Mutant(
+              SETTLED,
+              "away.remove(place.machine.id(), place);",
+              "away.remove(place.machine.id());"),
+          new Mutant(
+              SETTLED, "rules.leaseMillis() + rules.marginMillis()", "rules.leaseMillis() / 2"),
+          new Mutant(SETTLED, "instance.incarnation != join.before()", "false"),
+          new Mutant(SETTLED, "if (away.containsKey(place.machine.id())) {", "if (false) {"),
+          new Mutant(SETTLED, "if (out >= rules.mostOut()) {", "if (out > rules.mostOut()) {"),
+          new Mutant(SETTLED, "if (outInCell >= rules.mostOutInCell()) {", "if (false) {"),
+          new Mutant(
+              SETTLED, "worth.weight() - machine.weight() < least", "worth.weight() < least"),
+          new Mutant(
+              SETTLED, "boolean unseen = place.phase.held() &&", "boolean unseen = false &&"),
+          new Mutant(SETTLED, "|| instance.incarnation != incarnation", ""),
+          new Mutant(SETTLED, "    instance.fenced = false;\n", ""),
+          new Mutant(
+              SETTLED, "        place.grantedIndex = ((Number) fields.get(3)).longValue();\n", ""),
+          new Mutant(SETTLED, "          place.freed.add((String) name);\n", ""),
+          new Mutant(ORDER, "    waiting += to == Phase.WAITING ? 1 : 0;\n", ""),
+          new Mutant(ORDER, "    held += to.held() ? 1 : 0;\n", ""),
+          new Mutant(
+              PARTICIPANT, "state == State.INSIDE && leaseUntilNanos - nowNanos > 0", "everInside"),
+          new Mutant(
+              PARTICIPANT, "leaseUntilNanos - nowNanos > 0 : everInside", "true : everInside"),
+          new Mutant(
+              PARTICIPANT, "long until = sentNanos + lease;", "long until = nowNanos + lease;"),
+          new Mutant(PARTICIPANT, "if (stops && !idle) {", "if (false) {"),
+          new Mutant(PARTICIPANT, "          told.clear();\n", ""),
+          new Mutant(
+              PARTICIPANT,
+              "boolean idle = !everInside || stops && here.idle();",
+              "boolean idle = true;"),
+          new Mutant(PARTICIPANT, "      outside(nowNanos); // Fenced.\n", ""),
+          new Mutant(PARTICIPANT, "if (here.joined(incarnation)) {", "if (true) {"),
+          new Mutant(PARTICIPANT, "      before = reply.order();\n", ""),
+          new Mutant(CLOCK, "if (entryTerm != readTerm) {", "if (false) {"),
+          new Mutant(
+              CLOCK,
+              "      fromMillis = takenMillis;\n",
+              "      fromMillis = takenMillis + 5000;\n"),
+          new Mutant(PHASE, "return this == EMPTYING || this == OUT;", "return this == OUT;"));
+
+  private final Copies copies = Copies.ofThisProgram(List.of("meadowtrack.work.", "loadrig.work."));
+
+  /** Whether so many schedules, or the orders of so many events, show the fault. */
+  boolean found(Mutant mutant, long schedules, int depth) throws Exception {
+    Class<?> type = copies.load(mutant, WorkMutants.class.getName());
+    Method shows = type.getDeclaredMethod("shows", long.class, int.class);
+    shows.setAccessible(true); // Another loader makes it another package.
+    return (boolean) shows.invoke(null, schedules, depth);
+  }
+
+  /** Called in the loader of the copy; what it throws is a fault that shows, too. */
+  static boolean shows(long schedules, int depth) {
+    try {
+      return WorkExplorer.random(1, schedules, 200).finding() != null
+          || WorkExplorer.orders(depth).finding() != null;
+    } catch (RuntimeException e) {
+      return true;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/loadrig/work/World.java
@@ -0,0 +1,556 @@
+package loadrig.work;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import meadowtrack.work.Command;
+import meadowtrack.work.Floor;
+import meadowtrack.work.Group;
+import meadowtrack.work.LogClock;
+import meadowtrack.work.Machine;
+import meadowtrack.work.Phase;
+import meadowtrack.work.Reply;
+import meadowtrack.work.Rules;
+import meadowtrack.work.Settled;
+
+/**
+ * Three instances, four machines and one log in virtual time. Whatever is said may be lost, held
+ * up, overtaken or taken twice; instances stop, die, come back with or without their disk; whoever
+ * leads changes. The log itself is one list: that it is, is the library's to keep.
+ */
+final class World {
+  static final Group GROUP = new Group("store", "a");
+  static final List<String> MACHINES = List.of("m1", "m2", "m3", "m4");
+
+  /** One limit at a time, or each would hide that another does not hold. */
+  private static final List<Rules> LIMITS =
+      List.of(
+          new Rules(1, 1000, 100, 9, 9, List.of(new Floor("store", "*", 0.5))),
+          new Rules(1, 1000, 100, 2, 9, List.of()),
+          new Rules(1, 1000, 100, 9, 1, List.of()),
+          new Rules(1, 1000, 100, 9, 9, List.of()));
+
+  static final int LIMITED = LIMITS.size();
+
+  private static final int INSTANCES = 3;
+  private static final long MILLI = 1_000_000L;
+  private static final int MOST_PENDING = 64;
+
+  /** What holds in every state; its name is what a finding says. */
+  enum Property {
+    /** No call begins at a machine from when it is out until somebody says that it is done. */
+    OUT_MEANS_OUT,
+    /** Capacity, machines out at once and in one cell are within the rules. */
+    FLOORS,
+    /** Instances that have taken the same entries have computed the same. */
+    SAME,
+    /** One whose lease has ended for the others sends nothing. */
+    LEASE,
+    /** No order holds more machines at once than were asked for. */
+    AT_ONCE,
+    /** No machine is with two orders. */
+    ONE_ORDER,
+    /** With all well again every order comes to its end. */
+    NOT_STUCK
+  }
+
+  /** A property that did not hold, and after which events. */
+  record Finding(Property property, String what, boolean stops, int limited, List<Event> events) {
+    @Override
+    public String toString() {
+      StringBuilder text =
+          new StringBuilder(property + ": " + what + "; stops " + stops + ", limits " + limited);
+      events.forEach(
+          event -> text.append("\n  ").append(event.kind()).append(' ').append(event.at()));
+      return text.toString();
+    }
+  }
+
+  /** Kinds of events. */
+  enum Kind {
+    PASS,
+    TAKE,
+    STEP,
+    READ,
+    APPEND,
+    DROP,
+    DEFER,
+    REPEAT,
+    DECIDE,
+    WRITE,
+    END,
+    PAUSE,
+    WAKE,
+    KILL,
+    START,
+    LOSE,
+    CUT,
+    HEAL,
+    LEAD,
+    ASK,
+    DONE,
+    CANCEL,
+    FENCE
+  }
+
+  /** One event; what the number means is its kind's. */
+  record Event(Kind kind, int at) {}
+
+  /** Something that was said and has not been answered. */
+  private static final class Said {
+    final Sim by;
+    final meadowtrack.work.Participant process;
+    final Command command;
+    long readTerm = -1;
+    long readMillis;
+    boolean repeated;
+
+    Said(Sim by, Command command) {
+      this.by = by;
+      this.process = by == null ? null : by.participant;
+      this.command = command;
+    }
+  }
+
+  private record Entry(long term, long readTerm, long readMillis, Command command) {}
+
+  private final List<Sim> sims = new ArrayList<>();
+  private final List<Said> pending = new ArrayList<>();
+  private final List<Entry> log = new ArrayList<>();
+
+  /** What anybody may have been told: all of the log, taken at once. */
+  private final Settled all = new Settled();
+
+  /** What was computed from the log up to each entry. */
+  private final List<Object> computed = new ArrayList<>();
+
+  private final LogClock allClock = new LogClock();
+  private final List<LogClock> clocks = new ArrayList<>();
+  private final List<Event> events = new ArrayList<>();
+  private final boolean stops;
+  private Finding finding;
+  private long now;
+  private long term = 1;
+  private int leader;
+  private long draws;
+  private int asked;
+
+  private final int limited;
+
+  /** One of so many kinds of limits. */
+  World(boolean stops, int limited) {
+    this.stops = stops;
+    this.limited = limited;
+    Rules rules = LIMITS.get(limited);
+    double[] rates = {1.0, 1.02, 0.98};
+    for (int i = 0; i < INSTANCES; i++) {
+      sims.add(new Sim(this, "i" + i, rules, stops, rates[i], i * 7_000_000_000L - 9_000_000L));
+      clocks.add(new LogClock());
+    }
+  }
+
+  long now() {
+    return now;
+  }
+
+  long draw() {
+    return ++draws;
+  }
+
+  Finding finding() {
+    return finding;
+  }
+
+  Settled settled() {
+    return all;
+  }
+
+  private void found(Property property, String what) {
+    if (finding == null) {
+      finding = new Finding(property, what, stops, limited, List.copyOf(events));
+    }
+  }
+
+  // ---- told by the instances ----
+
+  void began(Sim by, String machine) {
+    for (Settled.Away each : all.away()) {
+      if (each.machine().equals(machine) && each.phase() == Phase.OUT) {
+        found(Property.OUT_MEANS_OUT, by.name + " began a call at " + machine);
+      }
+    }
+  }
+
+  void said(Sim by, Command command) {
+    if (!by.cut && pending.size() < MOST_PENDING) {
+      pending.add(new Said(by, command));
+    } else {
+      by.participant.answered(command, null, by.clock(), by);
+    }
+  }
+
+  // ---- events ----
+
+  /** What may happen now. */
+  List<Event> possible() {
+    List<Event> list = new ArrayList<>();
+    list.add(new Event(Kind.PASS, 10));
+    list.add(new Event(Kind.PASS, 120));
+    list.add(new Event(Kind.PASS, 700));
+    for (int i = 0; i < sims.size(); i++) {
+      Sim sim = sims.get(i);
+      if (sim.runs()) {
+        if (sim.taken < log.size() && !sim.cut) {
+          list.add(new Event(Kind.TAKE, i));
+        }
+        list.add(new Event(Kind.STEP, i));
+        for (int m = 0; m < 2; m++) {
+          list.add(new Event(Kind.DECIDE, i * 4 + m));
+        }
+        if (!sim.calls.isEmpty()) {
+          list.add(new Event(Kind.WRITE, i));
+          list.add(new Event(Kind.END, i));
+        }
+        list.add(new Event(Kind.PAUSE, i));
+        list.add(new Event(Kind.LEAD, i));
+      }
+      if (sim.alive && sim.paused) {
+        list.add(new Event(Kind.WAKE, i));
+      }
+      list.add(new Event(sim.cut ? Kind.HEAL : Kind.CUT, i));
+      if (sim.alive) {
+        list.add(new Event(Kind.KILL, i));
+      } else {
+        list.add(new Event(Kind.START, i));
+        list.add(new Event(Kind.LOSE, i));
+        list.add(new Event(Kind.FENCE, i));
+      }
+    }
+    if (!pending.isEmpty()) {
+      list.add(new Event(Kind.READ, 0));
+      list.add(new Event(Kind.APPEND, 0));
+      list.add(new Event(Kind.DROP, 0));
+      list.add(new Event(Kind.REPEAT, 0));
+    }
+    if (pending.size() > 1) {
+      list.add(new Event(Kind.DEFER, 0));
+    }
+    if (asked < 6) {
+      list.add(new Event(Kind.ASK, asked));
+    }
+    for (long order : all.orders()) {
+      list.add(new Event(Kind.DONE, (int) order));
+      list.add(new Event(Kind.CANCEL, (int) order));
+    }
+    return list;
+  }
+
+  /** Lets one event happen; one that cannot is passed over. */
+  World play(Event event) {
+    if (!can(event)) {
+      return this;
+    }
+    events.add(event);
+    int at = event.at();
+    switch (event.kind()) {
+      case PASS -> now += at * MILLI;
+      case TAKE -> take(sims.get(at));
+      case STEP -> sims.get(at).step();
+      case READ -> read();
+      case APPEND -> append(false);
+      case DROP -> drop();
+      case DEFER -> pending.add(pending.remove(0));
+      case REPEAT -> append(true);
+      case DECIDE -> sims.get(at / 4).decide(MACHINES.get(at % 4));
+      case WRITE -> sims.get(at).write();
+      case END -> sims.get(at).calls.removeIf(call -> call.written);
+      case PAUSE -> sims.get(at).paused = true;
+      case WAKE -> sims.get(at).paused = false;
+      case KILL -> {
+        sims.get(at).kill();
+        leader = leader == at ? -1 : leader; // It comes back as one that follows.
+      }
+      case START -> {
+        sims.get(at).start(true);
+        LogClock clock = new LogClock();
+        clock.restore(clocks.get(at).takenMillis());
+        clocks.set(at, clock);
+      }
+      case LOSE -> {
+        sims.get(at).start(false);
+        clocks.set(at, new LogClock());
+      }
+      case CUT -> sims.get(at).cut = true;
+      case HEAL -> sims.get(at).cut = false;
+      case LEAD -> lead(at);
+      case ASK -> ask(at);
+      case DONE -> say(new Command.Done(at, null));
+      case CANCEL -> say(new Command.Cancel(at));
+      case FENCE -> say(new Command.Fence(sims.get(at).name));
+    }
+    check();
+    return this;
+  }
+
+  /** Whether it can happen in this state. */
+  private boolean can(Event event) {
+    return switch (event.kind()) {
+      case START, LOSE -> !sims.get(event.at()).alive;
+      case STEP, WRITE, END, PAUSE, LEAD -> sims.get(event.at()).runs();
+      case TAKE -> {
+        Sim sim = sims.get(event.at());
+        yield sim.runs() && !sim.cut && sim.taken < log.size();
+      }
+      case DECIDE -> sims.get(event.at() / 4).runs();
+      case READ, APPEND, DROP, REPEAT, DEFER -> !pending.isEmpty();
+      default -> true;
+    };
+  }
+
+  private void take(Sim sim) {
+    Entry entry = log.get(sim.taken);
+    long stamp =
+        clocks.get(sims.indexOf(sim)).take(entry.term(), entry.readTerm(), entry.readMillis());
+    sim.take(sim.taken + 1, stamp, entry.command());
+    if (!sim.settled.save().equals(computed.get(sim.taken - 1))) {
+      found(
+          Property.SAME,
+          sim.name
+              + " differs after entry "
+              + sim.taken
+              + ": "
+              + sim.settled.save()
+              + " and "
+              + computed.get(sim.taken - 1));
+    }
+  }
+
+  /** Whoever leads has taken all entries of earlier terms before it reads its clock. */
+  private void lead(int at) {
+    Sim sim = sims.get(at);
+    if (!sim.cut) {
+      leader = at;
+      term++;
+      while (sim.taken < log.size()) {
+        take(sim);
+      }
+    }
+  }
+
+  private boolean led() {
+    return leader >= 0 && sims.get(leader).runs();
+  }
+
+  private void read() {
+    Said said = pending.get(0);
+    if (led()) {
+      said.readTerm = term;
+      said.readMillis = clocks.get(leader).read(term, sims.get(leader).clock());
+    }
+  }
+
+  private void append(boolean again) {
+    Said said = pending.get(0);
+    if (!led() || sims.get(leader).cut) {
+      return;
+    }
+    if (said.readTerm < 0) {
+      read();
+    }
+    Entry entry = new Entry(term, said.readTerm, said.readMillis, said.command);
+    log.add(entry);
+    long stamp = allClock.take(entry.term(), entry.readTerm(), entry.readMillis());
+    Reply reply = all.apply(log.size(), stamp, said.command);
+    computed.add(all.save());
+    if (again && !said.repeated) {
+      said.repeated = true;
+      said.readTerm = -1;
+    } else {
+      pending.remove(0);
+    }
+    answer(said, reply);
+  }
+
+  private void drop() {
+    answer(pending.remove(0), null);
+  }
+
+  private void answer(Said said, Reply reply) {
+    Sim by = said.by;
+    if (by != null && by.alive && by.participant == said.process) {
+      // One that is stopped hears it when it wakes, and by its own clock then; this is no sooner.
+      by.participant.answered(said.command, by.cut ? null : reply, by.clock(), by);
+    }
+  }
+
+  private void say(Command command) {
+    pending.add(0, new Said(null, command));
+    append(false);
+    pending.removeIf(said -> said.by == null);
+  }
+
+  private void ask(int number) {
+    List<Machine> machines = new ArrayList<>();
+    for (int i = 0; i <= number % 3; i++) {
+      int m = (number + i) % MACHINES.size();
+      machines.add(new Machine(MACHINES.get(m), "store", "a", m / 2, 1, "at-" + m));
+    }
+    int before = all.orders().size();
+    say(
+        new Command.Ask(
+            "k" + number,
+            number % 2 == 0 ? "ann" : "bo",
+            "",
+            number == 4,
+            1 + number % 2,
+            1000,
+            0,
+            0,
+            0,
+            machines));
+    asked += all.orders().size() > before ? 1 : 0;
+  }
+
+  // ---- properties ----
+
+  private void check() {
+    Set<String> held = new HashSet<>();
+    Map<Long, Integer> cells = new HashMap<>();
+    Map<Long, Integer> orders = new HashMap<>();
+    Rules rules = LIMITS.get(limited);
+    int out = 0;
+    for (Settled.Away each : all.away()) {
+      if (!held.add(each.machine())) {
+        found(Property.ONE_ORDER, each.machine() + " is with two orders");
+      }
+      if (each.phase().held()) {
+        out++;
+        long cell = MACHINES.indexOf(each.machine()) / 2;
+        if (cells.merge(cell, 1, Integer::sum) > rules.mostOutInCell()) {
+          found(Property.FLOORS, "too many machines of one cell are out");
+        }
+        if (orders.merge(each.order(), 1, Integer::sum) > all.wanted(each.order()).atOnce()) {
+          found(Property.AT_ONCE, "order " + each.order() + " has too many machines out");
+        }
+      }
+    }
+    double least = 0;
+    for (Floor floor : rules.floors()) {
+      least = floor.least() * MACHINES.size();
+    }
+    if (out > rules.mostOut() || MACHINES.size() - out < least) {
+      found(Property.FLOORS, out + " machines are out");
+    }
+    for (Sim sim : sims) {
+      if (stops
+          && sim.runs()
+          && sim.participant.inside()
+          && sim.participant.maySend(sim.clock())
+          && !all.joined(sim.name, sim.participant.incarnation())) {
+        found(Property.LEASE, sim.name + " may send and is fenced");
+      }
+    }
+  }
+
+  /** All is well again, and people say of whatever is out that it is done: nothing may be left. */
+  World calm() {
+    int dead = -1;
+    for (int i = 0; i < sims.size(); i++) {
+      Sim sim = sims.get(i);
+      sim.cut = false;
+      sim.paused = false;
+      if (!sim.alive && dead < 0) {
+        dead = i; // One stays dead: the others go on without it.
+      } else if (!sim.alive) {
+        play(new Event(Kind.START, i));
+      }
+    }
+    play(new Event(Kind.LEAD, dead == 0 ? 1 : 0));
+    if (dead >= 0 && !stops) {
+      play(new Event(Kind.FENCE, dead));
+    }
+    for (int round = 0; round < 2000 && finding == null; round++) {
+      play(new Event(Kind.PASS, 30));
+      if (dead >= 0 && !stops && round == 20) {
+        play(new Event(Kind.FENCE, dead)); // What it said before it died has come only now.
+      }
+      for (int i = 0; i < sims.size(); i++) {
+        play(new Event(Kind.STEP, i));
+        play(new Event(Kind.WRITE, i));
+        play(new Event(Kind.END, i));
+      }
+      for (int k = pending.size(); k > 0; k--) {
+        play(new Event(Kind.APPEND, 0));
+      }
+      for (int i = 0; i < sims.size(); i++) {
+        while (i != dead && sims.get(i).taken < log.size()) {
+          play(new Event(Kind.TAKE, i));
+        }
+      }
+      boolean left = false;
+      for (long order : all.orders()) {
+        if (all.phases(order).containsKey(Phase.OUT)) {
+          play(new Event(Kind.DONE, (int) order));
+        }
+        Set<Phase> phases = new HashSet<>(all.phases(order).keySet());
+        phases.remove(Phase.DONE);
+        phases.remove(Phase.ABANDONED);
+        left |= !phases.isEmpty();
+      }
+      if (!left && round > 5) {
+        return this;
+      }
+    }
+    StringBuilder left = new StringBuilder();
+    all.orders().forEach(order -> left.append(order).append(all.standings(order, 9)).append(' '));
+    found(Property.NOT_STUCK, left + " with " + all.instances());
+    return this;
+  }
+
+  /** Plays so many events drawn by a seed, then calm; what did not hold, or null. */
+  static Finding random(long seed, int steps) {
+    SplittableRandom random = new SplittableRandom(seed);
+    World world = new World(random.nextInt(4) > 0, random.nextInt(LIMITED));
+    for (int i = 0; i < steps && world.finding == null; i++) {
+      List<Event> possible = world.possible();
+      Event event = possible.get(random.nextInt(possible.size()));
+      if (rare(event.kind()) && random.nextInt(8) > 0) {
+        continue;
+      }
+      world.play(event);
+      if (random.nextInt(3) > 0) {
+        world.busy(random);
+      }
+    }
+    return world.finding == null ? world.calm().finding : world.finding;
+  }
+
+  private static boolean rare(Kind kind) {
+    return switch (kind) {
+      case KILL, LOSE, FENCE, CUT, PAUSE, LEAD, CANCEL, DROP, DONE -> true;
+      default -> false;
+    };
+  }
+
+  /** Something of what goes on all the time, so that faults meet an instance at work. */
+  private void busy(SplittableRandom random) {
+    int i = random.nextInt(sims.size());
+    Sim sim = sims.get(i);
+    if (sim.runs()) {
+      play(new Event(Kind.STEP, i));
+      if (!pending.isEmpty()) {
+        play(new Event(Kind.APPEND, 0));
+      }
+      if (!sim.cut && sim.taken < log.size()) {
+        play(new Event(Kind.TAKE, i));
+      }
+    }
+    if (random.nextInt(3) == 0) {
+      play(new Event(Kind.PASS, 10));
+    }
+  }
+}
--- a/src/main/java/maplehall/agreement/Agreement.java
+++ b/src/main/java/maplehall/agreement/Agreement.java
@@ -14,12 +14,15 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadPoolExecutor;
+import java.util.function.Supplier;
+import maplehall.runtime.Log;
+import org.apache.ratis.RaftConfigKeys;
 import org.apache.ratis.client.RaftClient;
 import org.apache.ratis.client.RaftClientConfigKeys;
 import org.apache.ratis.conf.Parameters;
 import org.apache.ratis.conf.RaftProperties;
-import org.apache.ratis.netty.NettyConfigKeys;
-import org.apache.ratis.netty.NettyFactory;
+import org.apache.ratis.grpc.GrpcConfigKeys;
+import org.apache.ratis.grpc.GrpcFactory;
 import org.apache.ratis.proto.RaftProtos.RaftPeerRole;
 import org.apache.ratis.protocol.ClientId;
 import org.apache.ratis.protocol.Message;
@@ -29,6 +32,7 @@
 import org.apache.ratis.protocol.RaftPeer;
 import org.apache.ratis.protocol.RaftPeerId;
 import org.apache.ratis.retry.RetryPolicies;
+import org.apache.ratis.rpc.SupportedRpcType;
 import org.apache.ratis.server.RaftServer;
 import org.apache.ratis.server.RaftServerConfigKeys;
 import org.apache.ratis.server.storage.RaftStorage;
@@ -47,18 +51,20 @@
   /** Entries of this instance that wait for their answer; one more is refused. */
   private static final int MOST_WAITING = 1024;
 
+  private static final String LOOPS = "org.apache.ratis.thirdparty.io.netty.eventLoopThreads";
+
   private static final int SUBMITTERS = 4;
 
   /**
    * Whoever led counts as lost after a time between these, drawn anew each time; both well above a
    * collection of garbage and a busy disk, and so that a new one leads within two seconds.
    */
-  private static final long ELECTION_FROM_MILLIS = 500;
+  private static final long ELECTION_FROM_MILLIS = 350;
 
-  private static final long ELECTION_TO_MILLIS = 900;
+  private static final long ELECTION_TO_MILLIS = 650;
 
   private static final long REQUEST_MILLIS = 700;
-  private static final int TRIES = 40;
+  private static final int TRIES = 100;
   private static final long BETWEEN_TRIES_MILLIS = 50;
 
   /** Entries between two snapshots; the log before the last one is not kept. */
@@ -68,6 +74,13 @@
   private static final RaftGroupId GROUP =
       RaftGroupId.valueOf(UUID.fromString("6c1d2a04-7c0e-4c4b-9d53-2b8f5b7c9a11"));
 
+  static {
+    // Its event loops would be two for each core; what instances say to each other is little.
+    if (System.getProperty(LOOPS) == null) {
+      System.setProperty(LOOPS, "2");
+    }
+  }
+
   private final RaftServer server;
   private final RaftClient client;
   private final LogMachine machine;
@@ -87,11 +100,10 @@
     machine = new LogMachine(replica);
     RaftGroup group = group(peers);
     Parameters parameters = new Parameters();
-    parameters.put(Ways.PEERS, List.copyOf(group.getPeers()), List.class);
     RaftProperties settings = new RaftProperties();
-    settings.set("raft.rpc.type", Ways.class.getName());
-    NettyConfigKeys.Server.setHost(settings, listen.getAddress().getHostAddress());
-    NettyConfigKeys.Server.setPort(settings, listen.getPort());
+    RaftConfigKeys.Rpc.setType(settings, SupportedRpcType.GRPC);
+    GrpcConfigKeys.Server.setHost(settings, listen.getAddress().getHostAddress());
+    GrpcConfigKeys.Server.setPort(settings, listen.getPort());
     RaftServerConfigKeys.setStorageDir(settings, List.of(folder.toFile()));
     RaftServerConfigKeys.Rpc.setTimeoutMin(settings, millis(ELECTION_FROM_MILLIS));
     RaftServerConfigKeys.Rpc.setTimeoutMax(settings, millis(ELECTION_TO_MILLIS));
@@ -116,6 +128,7 @@
             .setOption(RaftStorage.StartupOption.RECOVER)
             .build();
     RaftProperties asking = new RaftProperties();
+    RaftConfigKeys.Rpc.setType(asking, SupportedRpcType.GRPC);
     RaftClientConfigKeys.Rpc.setRequestTimeout(asking, millis(REQUEST_MILLIS));
     ClientId id = ClientId.randomId();
     client =
@@ -123,7 +136,7 @@
             .setClientId(id)
             .setRaftGroup(group)
             .setProperties(asking)
-            .setClientRpc(new NettyFactory(null).newRaftClientRpc(id, asking))
+            .setClientRpc(new GrpcFactory(parameters).newRaftClientRpc(id, asking))
             .setRetryPolicy(
                 RetryPolicies.retryUpToMaximumCountWithFixedSleep(
                     TRIES, millis(BETWEEN_TRIES_MILLIS)))
@@ -153,7 +166,7 @@
       all.add(
           RaftPeer.newBuilder()
               .setId(peer.name())
-              .setAddress(peer.address())
+              .setAddress(Ways.to(peer))
               .setStartupRole(peer.votes() ? RaftPeerRole.FOLLOWER : RaftPeerRole.LISTENER)
               .build());
     }
@@ -168,24 +181,16 @@
   /**
    * Has an entry taken by all. It may have been taken although the answer is an error: whoever
    * submits it again must make it the same entry.
+   *
+   * @param entry writes it, on a thread of this class
    */
-  public CompletableFuture<byte[]> submit(byte[] entry) {
+  public CompletableFuture<byte[]> submit(Supplier<byte[]> entry) {
     CompletableFuture<byte[]> answer = new CompletableFuture<>();
-    if (entry.length > MOST_ENTRY_BYTES) {
-      answer.completeExceptionally(
-          new IOException("an entry of " + entry.length + " bytes; at most " + MOST_ENTRY_BYTES));
-      return answer;
-    }
     try {
       submitters.execute(
           () -> {
             try {
-              RaftClientReply reply = client.io().send(Message.valueOf(ByteString.copyFrom(entry)));
-              if (reply.isSuccess()) {
-                answer.complete(reply.getMessage().getContent().toByteArray());
-              } else {
-                answer.completeExceptionally(new IOException("not taken: " + reply.getException()));
-              }
+              answer.complete(send(entry.get()));
             } catch (IOException | RuntimeException e) {
               answer.completeExceptionally(e);
             }
@@ -196,6 +201,17 @@
     return answer;
   }
 
+  private byte[] send(byte[] entry) throws IOException {
+    if (entry.length > MOST_ENTRY_BYTES) {
+      throw new IOException("an entry of " + entry.length + " bytes; at most " + MOST_ENTRY_BYTES);
+    }
+    RaftClientReply reply = client.io().send(Message.valueOf(ByteString.copyFrom(entry)));
+    if (!reply.isSuccess()) {
+      throw new IOException("not taken: " + reply.getException());
+    }
+    return reply.getMessage().getContent().toByteArray();
+  }
+
   /** Who leads as far as this instance knows, or an empty text. */
   public String leader() {
     try {
@@ -214,7 +230,7 @@
       try {
         each.close();
       } catch (Exception e) {
-        maplehall.runtime.Log.warn("agreement", "end: " + e);
+        Log.warn("agreement", "end: " + e);
       }
     }
   }
--- a/src/main/java/maplehall/agreement/LogMachine.java
+++ b/src/main/java/maplehall/agreement/LogMachine.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import maplehall.files.AtomicFile;
 import maplehall.runtime.Log;
+import meadowtrack.work.LogClock;
 import org.apache.ratis.io.MD5Hash;
 import org.apache.ratis.protocol.Message;
 import org.apache.ratis.protocol.RaftClientRequest;
@@ -26,14 +27,7 @@
 import org.apache.ratis.util.LifeCycle;
 import org.apache.ratis.util.MD5FileUtil;
 
-/**
- * Hands the log to a {@link Replica}, with a time for each entry.
- *
- * <p>The time is the log's own clock: whoever leads goes on from the latest time that it took, by
- * its monotonic clock from the moment at which it could lead. So the clock never runs faster than
- * any instance's, and stands still while nobody leads. A time counts only in the term in which it
- * was read: one that was read before a leader was cut off says nothing later.
- */
+/** Hands the log to a {@link Replica}, with the time of each entry by a {@link LogClock}. */
 final class LogMachine extends BaseStateMachine {
   private static final int HEADER_BYTES = 16;
 
@@ -41,12 +35,9 @@
   private final SimpleStateMachineStorage storage = new SimpleStateMachineStorage();
   private RaftGroupId group;
 
-  /** The latest time of an entry that was taken. */
-  private volatile long takenMillis;
+  /** Read by those who submit, moved on by the log's thread. */
+  private final LogClock clock = new LogClock();
 
-  private long leadsTerm = -1;
-  private long leadsFromMillis;
-  private long leadsFromNanos;
   private volatile boolean broken;
 
   LogMachine(Replica replica) {
@@ -84,13 +75,13 @@
     return storage;
   }
 
-  private synchronized void load() throws IOException {
+  private void load() throws IOException {
     SingleFileSnapshotInfo latest = storage.getLatestSnapshot();
     if (latest == null) {
       return;
     }
     ByteBuffer saved = ByteBuffer.wrap(Files.readAllBytes(latest.getFile().getPath()));
-    takenMillis = saved.getLong();
+    clock.restore(saved.getLong());
     byte[] rest = new byte[saved.remaining()];
     saved.get(rest);
     replica.load(rest);
@@ -105,7 +96,10 @@
     }
     byte[] saved = replica.save();
     ByteBuffer bytes = ByteBuffer.allocate(Long.BYTES + saved.length);
-    bytes.putLong(takenMillis).put(saved);
+    synchronized (clock) {
+      bytes.putLong(clock.takenMillis());
+    }
+    bytes.put(saved);
     File file = storage.getSnapshotFile(last.getTerm(), last.getIndex());
     AtomicFile.write(file.toPath(), bytes.array());
     MD5Hash digest = MD5FileUtil.computeAndSaveMd5ForFile(file);
@@ -126,16 +120,11 @@
         .build();
   }
 
-  private synchronized void stamp(ByteBuffer header) throws IOException {
+  private void stamp(ByteBuffer header) throws IOException {
     long term = getServer().join().getDivision(group).getInfo().getCurrentTerm();
-    long now = System.nanoTime();
-    if (term != leadsTerm) {
-      // Entries of earlier terms have been taken before a leader is asked for its first.
-      leadsTerm = term;
-      leadsFromMillis = takenMillis;
-      leadsFromNanos = now;
+    synchronized (clock) {
+      header.putLong(term).putLong(clock.read(term, System.nanoTime()));
     }
-    header.putLong(term).putLong(leadsFromMillis + (now - leadsFromNanos) / 1_000_000);
   }
 
   @Override
@@ -150,12 +139,11 @@
       long stamp = data.getLong();
       byte[] bytes = new byte[data.remaining()];
       data.get(bytes);
-      if (term == entry.getTerm()) {
-        takenMillis = Math.max(takenMillis, stamp);
-      } else {
-        stamp = 0;
+      long time;
+      synchronized (clock) {
+        time = clock.take(entry.getTerm(), term, stamp);
       }
-      byte[] answer = replica.take(entry.getIndex(), stamp, bytes);
+      byte[] answer = replica.take(entry.getIndex(), time, bytes);
       updateLastAppliedTermIndex(entry.getTerm(), entry.getIndex());
       return CompletableFuture.completedFuture(Message.valueOf(ByteString.copyFrom(answer)));
     } catch (RuntimeException e) {
--- a/src/main/java/maplehall/agreement/Replica.java
+++ b/src/main/java/maplehall/agreement/Replica.java
@@ -9,7 +9,8 @@
    * Takes an entry.
    *
    * @param index its number in the log
-   * @param stampMillis when whoever led took it, on the log's own clock
+   * @param stampMillis when whoever led took it, on the log's own clock; negative where that is not
+   *     to be relied on
    * @return what is told to whoever submitted it
    */
   byte[] take(long index, long stampMillis, byte[] entry);
--- a/src/main/java/maplehall/agreement/Ways.java
+++ b/src/main/java/maplehall/agreement/Ways.java
@@ -1,80 +1,79 @@
 package maplehall.agreement;
 
-import java.lang.reflect.InvocationTargetException;
-import java.lang.reflect.Proxy;
-import java.util.ArrayList;
-import java.util.Collection;
-import java.util.HashMap;
+import java.net.InetSocketAddress;
+import java.net.URI;
 import java.util.List;
 import java.util.Map;
-import org.apache.ratis.conf.Parameters;
-import org.apache.ratis.netty.NettyFactory;
-import org.apache.ratis.protocol.RaftPeer;
-import org.apache.ratis.protocol.RaftPeerId;
-import org.apache.ratis.rpc.RpcFactory;
-import org.apache.ratis.rpc.RpcType;
-import org.apache.ratis.rpc.SupportedRpcType;
-import org.apache.ratis.server.RaftServer;
-import org.apache.ratis.server.RaftServerRpc;
-import org.apache.ratis.server.ServerFactory;
+import java.util.concurrent.ConcurrentHashMap;
+import org.apache.ratis.thirdparty.io.grpc.EquivalentAddressGroup;
+import org.apache.ratis.thirdparty.io.grpc.NameResolver;
+import org.apache.ratis.thirdparty.io.grpc.NameResolverProvider;
+import org.apache.ratis.thirdparty.io.grpc.NameResolverRegistry;
+import org.apache.ratis.thirdparty.io.grpc.Status;
 
 /**
- * The library's own transport, but to the addresses that this instance's configuration names: the
- * library would take them from whoever leads, to whom an instance may be known by another. It makes
- * this class by its name.
+ * Finds peers by their names at the addresses that this instance's own configuration states. The
+ * library tells everybody the addresses that whoever leads uses, and an instance may be known to
+ * each of the others by another one; so in the log a peer's address is its name.
  */
-public final class Ways implements RpcType {
-  /** The peers as this instance reaches them, a list of {@link RaftPeer}. */
-  static final String PEERS = "heathswitch.peers";
+final class Ways extends NameResolverProvider {
+  private static final String SCHEME = "heathswitch";
+
+  /** One for the process, like the library's own registry; as many as there are peers. */
+  private static final Map<String, InetSocketAddress> ADDRESSES = new ConcurrentHashMap<>();
+
+  static {
+    NameResolverRegistry.getDefaultRegistry().register(new Ways());
+  }
+
+  /** The address of a peer as it stands in the log. */
+  static String to(Peer peer) {
+    ADDRESSES.put(peer.name(), peer.address());
+    return SCHEME + ":///" + peer.name();
+  }
 
   @Override
-  public String name() {
-    return SupportedRpcType.NETTY.name();
+  protected boolean isAvailable() {
+    return true;
   }
 
   @Override
-  public RpcFactory newFactory(Parameters parameters) {
-    Map<RaftPeerId, RaftPeer> own = new HashMap<>();
-    for (Object peer : parameters.get(PEERS, List.class)) {
-      own.put(((RaftPeer) peer).getId(), (RaftPeer) peer);
-    }
-    return new Servers(new NettyFactory(parameters), own);
+  protected int priority() {
+    return 5;
   }
 
-  private record Servers(NettyFactory netty, Map<RaftPeerId, RaftPeer> own)
-      implements ServerFactory {
-    @Override
-    public RpcType getRpcType() {
-      return SupportedRpcType.NETTY;
-    }
+  @Override
+  public String getDefaultScheme() {
+    return SCHEME;
+  }
 
-    @Override
-    public RaftServerRpc newRaftServerRpc(RaftServer server) {
-      RaftServerRpc rpc = netty.newRaftServerRpc(server);
-      return (RaftServerRpc)
-          Proxy.newProxyInstance(
-              Ways.class.getClassLoader(),
-              new Class<?>[] {RaftServerRpc.class},
-              (proxy, method, arguments) -> {
-                if (method.getName().equals("addRaftPeers")
-                    && arguments[0] instanceof Collection<?> peers) {
-                  rpc.addRaftPeers(asKnownHere(peers));
-                  return null;
-                }
-                try {
-                  return method.invoke(rpc, arguments);
-                } catch (InvocationTargetException e) {
-                  throw e.getCause();
-                }
-              });
+  @Override
+  public NameResolver newNameResolver(URI target, NameResolver.Args args) {
+    if (!SCHEME.equals(target.getScheme())) {
+      return null;
     }
+    String name = target.getPath().substring(1);
+    return new NameResolver() {
+      @Override
+      public String getServiceAuthority() {
+        return name;
+      }
 
-    private Collection<RaftPeer> asKnownHere(Collection<?> peers) {
-      List<RaftPeer> known = new ArrayList<>();
-      for (Object peer : peers) {
-        known.add(own.getOrDefault(((RaftPeer) peer).getId(), (RaftPeer) peer));
+      @Override
+      public void start(Listener2 listener) {
+        InetSocketAddress address = ADDRESSES.get(name);
+        if (address == null) {
+          listener.onError(Status.UNAVAILABLE.withDescription("no peer " + name));
+          return;
+        }
+        listener.onResult(
+            ResolutionResult.newBuilder()
+                .setAddresses(List.of(new EquivalentAddressGroup(address)))
+                .build());
       }
-      return known;
-    }
+
+      @Override
+      public void shutdown() {}
+    };
   }
 }
--- a/src/main/java/maplehall/work/Holdings.java
+++ b/src/main/java/maplehall/work/Holdings.java
@@ -123,11 +123,6 @@
     return free;
   }
 
-  /** Whether a grant still stands as it was. */
-  boolean holds(Settled.Away grant) {
-    return grant.equals(away.get(grant.machine()));
-  }
-
   private static boolean is(Upstream upstream, Settled.Away machine) {
     return upstream.name.equals(machine.machine())
         || text(upstream.address).equals(machine.address())
--- a/src/main/java/maplehall/work/WorkPages.java
+++ b/src/main/java/maplehall/work/WorkPages.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
@@ -45,7 +46,8 @@
   private void read(String rest, Consumer<AdminServer.Reply> reply) {
     Function<Settled, Map<String, Object>> question;
     if (rest.isEmpty()) {
-      question = this::overview;
+      long lease = orders.leaseLeftMillis();
+      question = settled -> overview(settled, lease);
     } else if (rest.equals("settled")) {
       question = Settled::save;
     } else if (rest.matches("\\d{1,18}")) {
@@ -68,14 +70,14 @@
     }
   }
 
-  private Map<String, Object> overview(Settled settled) {
+  private Map<String, Object> overview(Settled settled, long leaseMillis) {
     Map<String, Object> page = new LinkedHashMap<>();
     page.put("instance", table.instance());
     page.put("leader", orders.leader());
     page.put("entry", settled.index());
     page.put("log_ms", settled.nowMillis());
     page.put("when_cut_off", table.stops() ? "stop" : "serve");
-    page.put("lease_left_ms", orders.leaseLeftMillis());
+    page.put("lease_left_ms", leaseMillis);
     Rules rules = settled.rules();
     Map<String, Object> inForce = new LinkedHashMap<>();
     inForce.put("version", rules.version());
@@ -112,7 +114,7 @@
     row.put("at_once", ask.atOnce());
     Map<String, Object> phases = new LinkedHashMap<>();
     for (Map.Entry<Phase, Integer> each : settled.phases(id).entrySet()) {
-      phases.put(each.getKey().name().toLowerCase(java.util.Locale.ROOT), each.getValue());
+      phases.put(each.getKey().name().toLowerCase(Locale.ROOT), each.getValue());
     }
     row.put("phases", phases);
     return row;
@@ -131,7 +133,7 @@
     for (Settled.Standing each : settled.standings(id, MOST_SHOWN)) {
       Map<String, Object> row = new LinkedHashMap<>();
       row.put("machine", each.machine());
-      row.put("phase", each.phase().name().toLowerCase(java.util.Locale.ROOT));
+      row.put("phase", each.phase().name().toLowerCase(Locale.ROOT));
       row.put("since_ms", each.sinceMillis());
       row.put("overdue", each.overdue());
       row.put("waits_for", each.waitsFor());
@@ -183,24 +185,19 @@
     long after = Long.parseLong(word(words, "after", "0"));
     long notBefore = Long.parseLong(word(words, "not_before_ms", "0"));
     long notAfter = Long.parseLong(word(words, "not_after_ms", "0"));
-    orders
-        .choose(ids, kind, zone, cell)
-        .thenAccept(
-            machines -> {
-              Set<String> found = new HashSet<>();
-              machines.forEach((Machine each) -> found.add(each.id()));
-              for (String id : ids) {
-                if (!found.contains(id)) {
-                  reply.accept(AdminServer.Reply.error(409, "no server " + id + " is listed here"));
-                  return;
-                }
-              }
-              send(
-                  new Command.Ask(
-                      key, who, why, urgent, atOnce, forMillis, after, notBefore, notAfter,
-                      machines),
-                  reply);
-            });
+    List<Machine> machines = orders.choose(ids, kind, zone, cell);
+    Set<String> found = new HashSet<>();
+    machines.forEach(each -> found.add(each.id()));
+    for (String id : ids) {
+      if (!found.contains(id)) {
+        reply.accept(AdminServer.Reply.error(409, "no server " + id + " is listed here"));
+        return;
+      }
+    }
+    send(
+        new Command.Ask(
+            key, who, why, urgent, atOnce, forMillis, after, notBefore, notAfter, machines),
+        reply);
   }
 
   private static String word(Map<String, List<String>> words, String key, String otherwise) {
@@ -214,7 +211,7 @@
   /** Tells what became of it when all instances will know. */
   private void send(Command command, Consumer<AdminServer.Reply> reply) {
     orders
-        .command(command)
+        .submit(command)
         .whenComplete(
             (Reply said, Throwable failure) -> {
               if (said == null) {
--- a/src/main/java/meadowtrack/work/Form.java
+++ b/src/main/java/meadowtrack/work/Form.java
@@ -1,11 +1,13 @@
 package meadowtrack.work;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeSet;
 
 /**
  * Entries as trees of maps, lists, texts and numbers, which whoever keeps them writes as it likes.
@@ -186,14 +188,15 @@
     Map<String, Object> tree = new LinkedHashMap<>();
     tree.put("index", report.index());
     List<Object> groups = new ArrayList<>();
-    report
-        .groups()
-        .forEach(
-            (group, capacity) ->
-                groups.add(
-                    List.of(group.kind(), group.zone(), capacity.listed(), capacity.worth())));
+    // Sorted, so that whoever has computed the same writes the same.
+    List<Group> order = new ArrayList<>(report.groups().keySet());
+    order.sort(Comparator.comparing(Group::kind).thenComparing(Group::zone));
+    for (Group group : order) {
+      Report.Capacity capacity = report.groups().get(group);
+      groups.add(List.of(group.kind(), group.zone(), capacity.listed(), capacity.worth()));
+    }
     tree.put("groups", groups);
-    tree.put("warm", new ArrayList<>(report.warm()));
+    tree.put("warm", new ArrayList<>(new TreeSet<>(report.warm())));
     return tree;
   }
 
--- a/src/main/java/meadowtrack/work/Order.java
+++ b/src/main/java/meadowtrack/work/Order.java
@@ -99,6 +99,7 @@
     place.phase = to;
     place.index = index;
     place.sinceMillis = nowMillis;
+    waiting += to == Phase.WAITING ? 1 : 0;
     held += to.held() ? 1 : 0;
     ended += to.ended() ? 1 : 0;
   }
--- /dev/null
+++ b/src/main/java/meadowtrack/work/Participant.java
@@ -0,0 +1,250 @@
+package meadowtrack.work;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * One instance's part in what is settled: it joins, renews its lease, says which machines it has
+ * let go of, and knows whether it may send. It is stepped again and again and told what became of
+ * what it said; anything may be lost, late or told twice. Times are nanoseconds of a monotonic
+ * clock of its own.
+ */
+public final class Participant {
+  /** What the participant can see where it is. */
+  public interface Here {
+    /** The latest process of this instance by what has been taken here, 0 for none. */
+    long incarnation();
+
+    /** Whether the entry with which such a process joined has been taken here. */
+    boolean joined(long incarnation);
+
+    /** What is in service, with all laid over the lists that has been taken here. */
+    Report report();
+
+    /** Whether nothing is in flight to any server. */
+    boolean idle();
+
+    /** Machines that are being emptied, get nothing new from here and have nothing in flight. */
+    List<Settled.Away> empty();
+
+    /** The lease by the rules in force. */
+    long leaseMillis();
+
+    /** A number that nobody has drawn before, above 0. */
+    long draw();
+  }
+
+  private static final long MILLI = 1_000_000L;
+
+  /** An answer that is not there by then is not waited for any more. */
+  static final long PATIENCE_NANOS = 3000 * MILLI;
+
+  static final long AGAIN_NANOS = 100 * MILLI;
+
+  /**
+   * A machine must have had nothing in flight for so long before that is said: of an attempt that
+   * was called off the last bytes may still be on their way.
+   */
+  static final long QUIET_NANOS = 20 * MILLI;
+
+  /** Renewals in one lease, so that three may be lost; and how far apart they are at most. */
+  static final long RENEWALS = 4;
+
+  static final long MOST_BETWEEN_NANOS = 1000 * MILLI;
+
+  private enum State {
+    /** It is not among the instances. */
+    OUTSIDE,
+    /** It has asked to be. */
+    JOINING,
+    /** It is, and has not yet taken all that was settled before. */
+    TAKING,
+    INSIDE
+  }
+
+  private final String name;
+  private final boolean stops;
+  private final long stoppingNanos;
+  private final Rules rules;
+
+  private State state = State.OUTSIDE;
+  private boolean everInside;
+  private long incarnation;
+  private long before;
+  private long nextNanos = Long.MIN_VALUE;
+  private long sentNanos;
+  private long leaseUntilNanos;
+  private boolean renewing;
+  private Command lastRenewal;
+
+  /** Since when a machine has been empty, and what has been said to be. */
+  private final Map<Settled.Away, Long> emptySince = new HashMap<>();
+
+  private final Set<Settled.Away> told = new HashSet<>();
+
+  /**
+   * One that is outside.
+   *
+   * @param stops whether it stops by itself when it cannot renew its lease
+   * @param stoppingMillis before the end of its lease it takes no more clients
+   * @param rules as its configuration states them
+   */
+  public Participant(String name, boolean stops, long stoppingMillis, Rules rules) {
+    this.name = name;
+    this.stops = stops;
+    this.stoppingNanos = stoppingMillis * MILLI;
+    this.rules = rules;
+  }
+
+  /** Whether the first byte of an attempt may be written at this moment. */
+  public boolean maySend(long nowNanos) {
+    return stops ? state == State.INSIDE && leaseUntilNanos - nowNanos > 0 : everInside;
+  }
+
+  /** Whether new clients may come: what they ask for can be answered within the lease. */
+  public boolean takesClients(long nowNanos) {
+    return maySend(nowNanos) && (!stops || leaseUntilNanos - nowNanos > stoppingNanos);
+  }
+
+  /** What is left of the lease, or -1 where there is none to end. */
+  public long leaseLeftNanos(long nowNanos) {
+    return !stops ? -1 : state == State.INSIDE ? Math.max(0, leaseUntilNanos - nowNanos) : 0;
+  }
+
+  public boolean inside() {
+    return state == State.INSIDE;
+  }
+
+  public long incarnation() {
+    return incarnation;
+  }
+
+  /** What is to be said now; to be called every few milliseconds. */
+  public List<Command> step(long nowNanos, Here here) {
+    List<Command> say = new ArrayList<>();
+    switch (state) {
+      case OUTSIDE -> join(nowNanos, here, say);
+      case JOINING -> {
+        if (nowNanos - sentNanos > PATIENCE_NANOS) {
+          outside(nowNanos);
+        }
+      }
+      case TAKING -> {
+        if (here.joined(incarnation)) {
+          state = State.INSIDE;
+          everInside = true;
+          leaseUntilNanos = sentNanos + here.leaseMillis() * MILLI;
+          renewing = false;
+          nextNanos = nowNanos;
+          told.clear();
+        } else if (nowNanos - sentNanos > PATIENCE_NANOS) {
+          outside(nowNanos);
+        }
+      }
+      case INSIDE -> {
+        renew(nowNanos, here, say);
+        free(nowNanos, here, say);
+      }
+    }
+    return say;
+  }
+
+  private void outside(long nowNanos) {
+    state = State.OUTSIDE;
+    nextNanos = nowNanos + AGAIN_NANOS;
+    lastRenewal = null;
+  }
+
+  private void join(long nowNanos, Here here, List<Command> say) {
+    if (nextNanos != Long.MIN_VALUE && nowNanos - nextNanos < 0) {
+      return;
+    }
+    // One that stops sends nothing until it is inside again; what it sent must have ended.
+    boolean idle = !everInside || stops && here.idle();
+    if (stops && !idle) {
+      return;
+    }
+    incarnation = here.draw();
+    before = before == 0 ? here.incarnation() : before;
+    sentNanos = nowNanos;
+    state = State.JOINING;
+    say.add(new Command.Join(name, incarnation, before, idle, stops, rules));
+  }
+
+  private void renew(long nowNanos, Here here, List<Command> say) {
+    if (renewing && nowNanos - sentNanos > PATIENCE_NANOS) {
+      renewing = false;
+    }
+    if (!renewing && nowNanos - nextNanos >= 0) {
+      renewing = true;
+      sentNanos = nowNanos;
+      lastRenewal = new Command.Renew(name, incarnation, here.report());
+      say.add(lastRenewal);
+    }
+  }
+
+  private void free(long nowNanos, Here here, List<Command> say) {
+    List<Settled.Away> empty = here.empty();
+    emptySince.keySet().retainAll(empty);
+    told.retainAll(empty);
+    for (Settled.Away each : empty) {
+      long since = emptySince.computeIfAbsent(each, any -> nowNanos);
+      if (nowNanos - since >= QUIET_NANOS && told.add(each)) {
+        say.add(new Command.Free(name, incarnation, each.order(), each.machine()));
+      }
+    }
+  }
+
+  /**
+   * What became of something that was said.
+   *
+   * @param reply null where that is not known: it may have been taken or not
+   */
+  public void answered(Command command, Reply reply, long nowNanos, Here here) {
+    if (command instanceof Command.Join join) {
+      if (state == State.JOINING && join.incarnation() == incarnation) {
+        joinAnswered(reply, nowNanos);
+      }
+    } else if (command instanceof Command.Renew renew) {
+      if (state == State.INSIDE && renew == lastRenewal) {
+        renewAnswered(reply, nowNanos, here);
+      }
+    } else if (command instanceof Command.Free free
+        && state == State.INSIDE
+        && free.incarnation() == incarnation
+        && (reply == null || !reply.ok())) {
+      told.removeIf(each -> each.order() == free.order() && each.machine().equals(free.machine()));
+    }
+  }
+
+  private void joinAnswered(Reply reply, long nowNanos) {
+    if (reply != null && reply.ok()) {
+      state = State.TAKING;
+      before = 0;
+      return;
+    }
+    outside(nowNanos);
+    if (reply != null && reply.message().equals(Settled.LATE)) {
+      before = reply.order();
+      nextNanos = nowNanos;
+    }
+  }
+
+  private void renewAnswered(Reply reply, long nowNanos, Here here) {
+    renewing = false;
+    if (reply == null) {
+      nextNanos = nowNanos + AGAIN_NANOS;
+    } else if (reply.ok()) {
+      long lease = here.leaseMillis() * MILLI;
+      long until = sentNanos + lease;
+      leaseUntilNanos = until - leaseUntilNanos > 0 ? until : leaseUntilNanos;
+      nextNanos = sentNanos + Math.min(MOST_BETWEEN_NANOS, lease / RENEWALS);
+    } else {
+      outside(nowNanos); // Fenced.
+    }
+  }
+}
--- a/src/main/java/meadowtrack/work/Settled.java
+++ b/src/main/java/meadowtrack/work/Settled.java
@@ -61,13 +61,16 @@
    * Takes the next entry of the log.
    *
    * @param entry its number
-   * @param stampMillis when whoever led took it, on the log's own clock
+   * @param stampMillis when whoever led took it, on the log's own clock, or {@link
+   *     LogClock#NO_TIME}
    */
   public Reply apply(long entry, long stampMillis, Command command) {
     index = entry;
     nowMillis = Math.max(nowMillis, stampMillis);
     Reply reply;
-    if (command instanceof Command.Join join) {
+    if (stampMillis < 0 && (command instanceof Command.Join || command instanceof Command.Renew)) {
+      reply = Reply.no("no time that a lease could run from; once more");
+    } else if (command instanceof Command.Join join) {
       reply = join(join);
     } else if (command instanceof Command.Renew renew) {
       reply = renew(renew, stampMillis);
@@ -170,12 +173,18 @@
     return Reply.ok(free.order());
   }
 
+  /** What it said before and is still on its way counts for nothing: a join least of all. */
+  private void goneForGood(Instance instance) {
+    instance.fenced = true;
+    instance.incarnation = -index;
+  }
+
   private Reply leave(Command.Leave leave) {
     Instance instance = speaking(leave.instance(), leave.incarnation());
     if (instance == null) {
       return Reply.no("not there");
     }
-    instance.fenced = true;
+    goneForGood(instance);
     return Reply.ok(0);
   }
 
@@ -184,7 +193,7 @@
     if (instance == null) {
       return Reply.no("no instance " + fence.instance());
     }
-    instance.fenced = true;
+    goneForGood(instance);
     return Reply.ok(0);
   }
 
@@ -202,7 +211,7 @@
     }
     long turn = round;
     for (Order order : orders.values()) {
-      if (order.ask.who().equals(ask.who()) && order.waiting() > 0) {
+      if (order.ask.who().equals(ask.who())) {
         turn = Math.max(turn, order.round + 1);
       }
     }
@@ -304,7 +313,7 @@
     place.order.move(place, to, index, nowMillis);
     changes++;
     if (to.ended()) {
-      away.remove(place.machine.id());
+      away.remove(place.machine.id(), place); // Not that of another order that has the machine.
     } else {
       away.put(place.machine.id(), place);
     }
--- a/src/test/java/architecture/BordersTest.java
+++ b/src/test/java/architecture/BordersTest.java
@@ -160,6 +160,7 @@
             not(
                 resideInAnyPackage(
                     "maplehall.work..",
+                    "maplehall.agreement..",
                     "maplehall.standalone..",
                     "maplehall.cli..",
                     "meadowtrack.work..",
--- a/src/test/java/loadrig/explore/ExplorerTest.java
+++ b/src/test/java/loadrig/explore/ExplorerTest.java
@@ -4,10 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import loadrig.mutants.Mutant;
 import meadowtrack.api.Form;
 import meadowtrack.api.RequestClass.Effect;
 import org.junit.jupiter.api.Test;
@@ -32,10 +32,9 @@
 
   @Test
   void everyFaultIsFound() throws Exception {
-    MutantRun run =
-        new MutantRun(Path.of("src", "main", "java"), System.getProperty("java.class.path"));
+    MutantRun run = new MutantRun();
     List<String> unseen = new ArrayList<>();
-    for (Mutant mutant : Mutant.ALL) {
+    for (Mutant mutant : Mutants.ALL) {
       if (run.steps(mutant, 4) < 0) {
         unseen.add(mutant.toString());
       }
--- /dev/null
+++ b/src/test/java/loadrig/work/WorkExplorerTest.java
@@ -0,0 +1,44 @@
+package loadrig.work;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import loadrig.mutants.Mutant;
+import org.junit.jupiter.api.Test;
+
+/** What is settled of work orders, under schedules of faults and every order of a few events. */
+class WorkExplorerTest {
+  @Test
+  void noScheduleOfFaultsBreaksAProperty() {
+    WorkExplorer.Played played = WorkExplorer.random(1, 3000, 200);
+    assertNull(played.finding(), () -> WorkExplorer.shortened(played.finding()).toString());
+    assertTrue(played.schedules() >= 3000);
+  }
+
+  @Test
+  void noOrderOfThreeEventsBreaksAProperty() {
+    WorkExplorer.Played played = WorkExplorer.orders(3);
+    assertNull(played.finding(), () -> WorkExplorer.shortened(played.finding()).toString());
+    assertTrue(played.schedules() > 10_000);
+  }
+
+  /** The checker itself: faults put into copies are found, a copy without one is not. */
+  @Test
+  void everyFaultIsFound() throws Exception {
+    WorkMutants mutants = new WorkMutants();
+    List<String> unseen = new ArrayList<>();
+    for (Mutant mutant : WorkMutants.ALL) {
+      if (!mutants.found(mutant, 4000, 2)) {
+        unseen.add(mutant.toString());
+      }
+    }
+    assertEquals(List.of(), unseen);
+    Mutant none =
+        new Mutant("meadowtrack.work.Order", "private int waiting;", "private int waiting ;");
+    assertFalse(mutants.found(none, 1000, 2));
+  }
+}
--- /dev/null
+++ b/src/test/java/meadowtrack/work/SettledTest.java
@@ -0,0 +1,264 @@
+package meadowtrack.work;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** What the log adds up to, entry by entry. */
+class SettledTest {
+  private static final Group STORE = new Group("store", "a");
+  private final Settled settled = new Settled();
+  private long index;
+  private long now;
+
+  private Reply say(Command command) {
+    return settled.apply(++index, now, command);
+  }
+
+  private void join(String instance, boolean stops, int mostOut, double least) {
+    Rules rules =
+        new Rules(1, 4000, 1000, mostOut, mostOut, List.of(new Floor("store", "*", least)));
+    assertTrue(say(new Command.Join(instance, 1, 0, true, stops, rules)).ok());
+  }
+
+  private void report(String instance, double listed, double worth, String... warm) {
+    Report report =
+        new Report(index, Map.of(STORE, new Report.Capacity(listed, worth)), Set.of(warm));
+    assertTrue(say(new Command.Renew(instance, 1, report)).ok());
+  }
+
+  private static Machine machine(int number) {
+    return new Machine("m" + number, "store", "a", number, 1, "at-" + number);
+  }
+
+  private static Command.Ask ask(String key, String who, boolean urgent, int... machines) {
+    List<Machine> list = new ArrayList<>();
+    for (int each : machines) {
+      list.add(machine(each));
+    }
+    return new Command.Ask(key, who, "disk", urgent, 1, 60_000, 0, 0, 0, list);
+  }
+
+  private Phase phase(long order) {
+    return settled.phases(order).keySet().iterator().next();
+  }
+
+  @Test
+  void aMachineIsOutWhenEveryInstanceHasLetGoOfIt() {
+    join("a", false, 1, 0.5);
+    join("b", false, 1, 0.5);
+    report("a", 4, 4);
+    long order = say(ask("k", "ann", false, 1)).order();
+    assertEquals(Phase.EMPTYING, phase(order));
+    say(new Command.Free("a", 1, order, "m1"));
+    assertEquals(Phase.EMPTYING, phase(order));
+    assertTrue(settled.standings(order, 1).get(0).waitsFor().contains("b (heard"));
+    say(new Command.Free("b", 1, order, "m1"));
+    assertEquals(Phase.OUT, phase(order));
+    say(new Command.Done(order, null));
+    assertEquals(Phase.RETURNING, phase(order));
+    report("a", 4, 3.1);
+    assertEquals(Phase.RETURNING, phase(order), "cold for one that looked");
+    report("a", 4, 4, "m1");
+    assertEquals(Phase.DONE, phase(order));
+  }
+
+  /**
+   * It has been fenced by a person's mistake and goes on sending: it has to let go as others do.
+   */
+  @Test
+  void oneThatJoinsAgainWhileItSendsHasToLetGo() {
+    join("a", false, 1, 0.5);
+    join("b", false, 1, 0.5);
+    report("a", 4, 4);
+    long order = say(ask("k", "ann", false, 1)).order();
+    say(new Command.Free("b", 1, order, "m1"));
+    say(new Command.Fence("b"));
+    Rules rules = settled.rules();
+    assertFalse(say(new Command.Join("b", 3, 1, true, false, rules)).ok(), "said before");
+    long known = settled.incarnation("b");
+    assertTrue(say(new Command.Join("b", 2, known, false, false, rules)).ok());
+    say(new Command.Free("a", 1, order, "m1"));
+    assertEquals(Phase.EMPTYING, phase(order));
+    say(new Command.Free("b", 2, order, "m1"));
+    assertEquals(Phase.OUT, phase(order));
+  }
+
+  @Test
+  void oneThatStopsIsFencedWhenItsLeaseAndTheMarginAreOver() {
+    join("a", true, 1, 0.5);
+    join("b", true, 1, 0.5);
+    report("a", 4, 4);
+    long order = say(ask("k", "ann", false, 1)).order();
+    say(new Command.Free("a", 1, order, "m1"));
+    now = 4999;
+    report("a", 4, 4);
+    assertEquals(Phase.EMPTYING, phase(order));
+    now = 5000;
+    report("a", 4, 4);
+    assertEquals(Phase.OUT, phase(order));
+    assertFalse(say(new Command.Renew("b", 1, null)).ok());
+  }
+
+  /** A leader that was cut off has read the clock: no lease may run from that. */
+  @Test
+  void anEntryWithoutATimeRenewsNoLease() {
+    join("a", true, 1, 0.5);
+    Settled.Seen before = settled.instances().get(0);
+    assertFalse(settled.apply(++index, -1, new Command.Renew("a", 1, null)).ok());
+    assertEquals(before, settled.instances().get(0));
+    Command join = new Command.Join("b", 1, 0, true, true, settled.rules());
+    assertFalse(settled.apply(++index, -1, join).ok());
+    LogClock clock = new LogClock();
+    assertEquals(LogClock.NO_TIME, clock.take(2, 1, 50));
+    assertEquals(0, clock.takenMillis());
+  }
+
+  @Test
+  void whatCanNeverBeGrantedIsRefusedAtOnce() {
+    join("a", false, 1, 0.9);
+    report("a", 4, 4);
+    Reply reply = say(ask("k", "ann", false, 1));
+    assertFalse(reply.ok());
+    assertTrue(reply.message().contains("can never go"), reply.message());
+    assertFalse(say(ask("none", "ann", false)).ok());
+    assertFalse(say(ask("twice", "ann", false, 1, 1)).ok());
+  }
+
+  @Test
+  void theSameRequestTwiceIsOneOrder() {
+    join("a", false, 1, 0.5);
+    report("a", 4, 4);
+    long first = say(ask("k", "ann", false, 1)).order();
+    assertEquals(first, say(ask("k", "ann", false, 1)).order());
+    assertEquals(1, settled.orders().size());
+  }
+
+  /** The order in which machines go out, each put back and warm again at once. */
+  private List<Long> granted(long... orders) {
+    List<Long> granted = new ArrayList<>();
+    for (int i = 0; i < 200 && granted.size() < orders.length; i++) {
+      for (Settled.Away each : settled.away()) {
+        if (each.phase() == Phase.EMPTYING) {
+          granted.add(each.order());
+          say(new Command.Free("a", 1, each.order(), each.machine()));
+          say(new Command.Done(each.order(), null));
+          report("a", 12, 12, each.machine());
+        }
+      }
+    }
+    return granted;
+  }
+
+  /** Somebody with many requests has one turn in a round, like everybody else. */
+  @Test
+  void manyRequestsDoNotCrowdOutOne() {
+    join("a", false, 1, 0.5);
+    report("a", 12, 12);
+    long[] many = new long[6];
+    for (int i = 0; i < 6; i++) {
+      many[i] = say(ask("k" + i, "ann", false, i)).order();
+    }
+    long one = say(ask("one", "bo", false, 7)).order();
+    List<Long> granted = granted(many[0], many[1], many[2], many[3], many[4], many[5], one);
+    assertEquals(7, granted.size());
+    assertTrue(granted.indexOf(one) <= 1, "went as " + granted.indexOf(one));
+  }
+
+  /** Urgent ones go first, and after so many rounds of them the others have their turn. */
+  @Test
+  void urgentOnesGoFirstWithinABound() {
+    join("a", false, 1, 0.5);
+    report("a", 12, 12);
+    say(ask("first", "zoe", false, 0));
+    long plain = say(ask("plain", "bo", false, 1)).order();
+    long[] all = new long[14];
+    for (int i = 0; i < 14; i++) {
+      all[i] = say(ask("u" + i, "ann", true, 2 + i % 9)).order();
+    }
+    List<Long> granted = granted(new long[16]);
+    assertEquals(16, granted.size());
+    assertTrue(granted.indexOf(plain) > 4, "went as " + granted.indexOf(plain));
+    assertTrue(granted.indexOf(plain) < 13, "went as " + granted.indexOf(plain));
+  }
+
+  /** What a large one waits for is not given to small ones that came later. */
+  @Test
+  void nobodyTakesWhatAnEarlierOneWaitsFor() {
+    join("a", false, 3, 0.5);
+    report("a", 12, 7);
+    Machine heavy = new Machine("heavy", "store", "a", 99, 4, "at-heavy");
+    long large =
+        say(new Command.Ask("l", "ann", "", false, 1, 60_000, 0, 0, 0, List.of(heavy))).order();
+    long small = say(ask("s", "bo", false, 1)).order();
+    assertEquals(Phase.WAITING, phase(large));
+    assertEquals(Phase.WAITING, phase(small));
+    report("a", 12, 12);
+    assertEquals(Phase.EMPTYING, phase(large));
+    assertEquals(Phase.EMPTYING, phase(small));
+  }
+
+  @Test
+  void tenThousandMachinesInOneOrderAndAThousandOrders() {
+    join("a", false, 2, 0.5);
+    report("a", 30_000, 30_000);
+    int[] machines = new int[10_000];
+    for (int i = 0; i < machines.length; i++) {
+      machines[i] = i;
+    }
+    assertTrue(say(ask("large", "ann", false, machines)).ok());
+    long began = System.nanoTime();
+    for (int i = 0; i < 1000; i++) {
+      assertTrue(say(ask("k" + i, "p" + i % 7, i % 9 == 0, 10_000 + i)).ok(), "order " + i);
+    }
+    double millis = (System.nanoTime() - began) / 1e6 / 1000;
+    assertTrue(millis < 50, "an entry takes " + millis + " ms");
+    assertFalse(say(ask("more", "ann", false, machines)).ok(), "more than are kept");
+    Settled again = Settled.load(settled.save());
+    assertEquals(settled.save(), again.save());
+  }
+
+  @Test
+  void aMachineIsOverdueAndBlocksNobodyElse() {
+    join("a", false, 2, 0.5);
+    report("a", 4, 4);
+    long order = say(ask("k", "ann", false, 1)).order();
+    say(new Command.Free("a", 1, order, "m1"));
+    now += 60_001;
+    report("a", 4, 3);
+    assertTrue(settled.standings(order, 1).get(0).overdue());
+    assertEquals(Phase.OUT, phase(order), "nothing is put back while somebody works on it");
+    long other = say(ask("o", "bo", false, 2)).order();
+    assertEquals(Phase.EMPTYING, phase(other));
+    say(new Command.Extend(order, 60_000));
+    assertFalse(settled.standings(order, 1).get(0).overdue());
+  }
+
+  /** Everything that can be said goes through the form in which the log has it. */
+  @Test
+  void everyCommandIsReadAsItWasWritten() {
+    Rules rules = new Rules(7, 4000, 500, 3, 2, List.of(new Floor("*", "b", 0.75)));
+    Report report = new Report(9, Map.of(STORE, new Report.Capacity(3, 2.5)), Set.of("m4"));
+    for (Command command :
+        List.of(
+            new Command.Join("a", 4, 3, true, false, rules),
+            new Command.Renew("a", 4, report),
+            new Command.Renew("a", 4, null),
+            new Command.Free("a", 4, 2, "m"),
+            new Command.Leave("a", 4),
+            new Command.Fence("a"),
+            ask("k", "ann", true, 1, 2),
+            new Command.Done(3, "m1"),
+            new Command.Done(3, null),
+            new Command.Extend(3, 5),
+            new Command.Cancel(3))) {
+      assertEquals(command, Form.command(Form.of(command)));
+    }
+  }
+}
