Change who votes by command, and keep a voter from voting with a lost folder

The library makes a new log in an empty folder and votes as if it had never voted, so an entry that a majority had could be lost. A voter now starts only with a folder that work init has made; work vote and vote --no change who votes, one at a time, and let one that lost its folder back in. Also: one that was fenced while it could still renew takes no more clients; a report that was held up says nothing newer; spans are bounded; waiting says once that a balancer does not answer.

Tests in several processes: a voter that lost its folder and comes back, twins asked for on both sides of a split, all restarted at once in the middle. A measurement beside them (measure work), not yet run.

--- a/src/main/java/loadrig/Main.java
+++ b/src/main/java/loadrig/Main.java
@@ -8,6 +8,7 @@
 import loadrig.measure.GrpcMeasurement;
 import loadrig.measure.Measurement;
 import loadrig.measure.MembersMeasurement;
+import loadrig.work.WorkMeasurement;
 
 /** The rig's command line: {@code demo} and {@code measure NAME [--short]}. */
 public final class Main {
@@ -20,7 +21,9 @@
           "gateway",
           new GatewayMeasurement(),
           "attempts",
-          new AttemptsMeasurement());
+          new AttemptsMeasurement(),
+          "work",
+          new WorkMeasurement());
 
   private Main() {}
 
--- a/src/main/java/loadrig/client/Ledger.java
+++ b/src/main/java/loadrig/client/Ledger.java
@@ -32,13 +32,18 @@
     }
   }
 
-  private long count(Predicate<Entry> what) {
-    return calls.values().stream().filter(what).count();
-  }
-
   /** Calls whose client got no whole answer, and those that ran and of which no client knows. */
   public long lost() {
-    return count(entry -> entry.result == null || entry.result == Tally.Result.LOST);
+    return lost(id -> true);
+  }
+
+  /** The same of those whose ids are named. */
+  public long lost(Predicate<String> of) {
+    return calls.entrySet().stream()
+        .filter(call -> of.test(call.getKey()))
+        .map(Map.Entry::getValue)
+        .filter(entry -> entry.result == null || entry.result == Tally.Result.LOST)
+        .count();
   }
 
   /** Calls that ran more than once, of those whose ids are named. */
--- a/src/main/java/loadrig/client/OpenLoop.java
+++ b/src/main/java/loadrig/client/OpenLoop.java
@@ -85,6 +85,11 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 2000);
   }
 
+  /** Whether a call's path is of this load. */
+  public boolean owns(String path) {
+    return path.contains('-' + prefix);
+  }
+
   public OpenLoop start() {
     begin();
     return this;
--- a/src/main/java/loadrig/fleet/Fleet.java
+++ b/src/main/java/loadrig/fleet/Fleet.java
@@ -25,6 +25,8 @@
 import loadrig.server.Shape;
 import loadrig.server.StandIn;
 import loadrig.site.DelayLine;
+import maplehall.standalone.StandaloneConfig;
+import maplehall.work.WorkFolder;
 import meadowtrack.members.ListedServer;
 
 /** Instances of the program before stand-in servers, with every way between instances a relay. */
@@ -90,6 +92,7 @@
       nodes.put(node.name, node);
       list(node, standIns);
       configure(node, voters, terms);
+      WorkFolder.make(StandaloneConfig.read(node.config).config().work());
     }
     all(Node::start);
     for (Node node : nodes.values()) {
--- a/src/main/java/loadrig/fleet/History.java
+++ b/src/main/java/loadrig/fleet/History.java
@@ -67,6 +67,20 @@
     return outs.size();
   }
 
+  /** How many machines were out at once at most, as operators were told. */
+  public synchronized int mostOut() {
+    int most = 0;
+    for (Out out : outs) {
+      int at = 0;
+      for (Out other : outs) {
+        at +=
+            other.fromNanos() <= out.fromNanos() && out.fromNanos() < other.untilNanos()[0] ? 1 : 0;
+      }
+      most = Math.max(most, at);
+    }
+    return most;
+  }
+
   public synchronized int calls() {
     return calls.size();
   }
--- a/src/main/java/loadrig/fleet/Node.java
+++ b/src/main/java/loadrig/fleet/Node.java
@@ -28,7 +28,8 @@
 
   private final List<String> flags;
   Path config;
-  private BalancerProcess process;
+  private volatile BalancerProcess process;
+  private volatile boolean paused;
 
   Node(
       String name,
@@ -79,6 +80,11 @@
     }
   }
 
+  /** Whether it can be asked at all: it runs, and is not stopped. */
+  public boolean answers() {
+    return alive() && !paused;
+  }
+
   public boolean alive() {
     return process != null && process.alive();
   }
@@ -86,11 +92,13 @@
   /** SIGSTOP: it does nothing, and its connections stay open. */
   public void pause() throws IOException, InterruptedException {
     process.signal("STOP");
+    paused = true;
   }
 
   /** SIGCONT. */
   public void resume() throws IOException, InterruptedException {
     process.signal("CONT");
+    paused = false;
   }
 
   /** SIGKILL. */
--- /dev/null
+++ b/src/main/java/loadrig/work/WorkMeasurement.java
@@ -0,0 +1,535 @@
+package loadrig.work;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import loadrig.client.OpenLoop;
+import loadrig.client.Tally;
+import loadrig.fleet.Fleet;
+import loadrig.fleet.Node;
+import loadrig.fleet.Terms;
+import loadrig.measure.Figures;
+import loadrig.measure.Measurement;
+import loadrig.mutants.Mutant;
+import loadrig.server.ServiceTime;
+import loadrig.server.Shape;
+
+/**
+ * Machines taken out for work by several processes with faults between them, beside the same faults
+ * with no orders at all; and the modules under schedules of faults in virtual time.
+ */
+public final class WorkMeasurement implements Measurement {
+  private static final long SEED = 28;
+  private static final long LEASE_MILLIS = 2000;
+  private static final int MOST_OUT = 3;
+
+  /** Long enough for an order to go on without one that is cut off. */
+  private static final long HOLD_MILLIS = 3500;
+
+  private static final long WAIT_NANOS = 30_000_000_000L;
+  private static final long LOOK_MILLIS = 3;
+
+  /** What a run is like. */
+  private record Size(int instances, int voters, int machines, double perSecond, long millis) {}
+
+  /** What one run came to. */
+  private static final class Run {
+    final AtomicInteger orders = new AtomicInteger();
+    final AtomicInteger done = new AtomicInteger();
+    final List<Double> settleMillis = new ArrayList<>();
+    double takeoverWorst;
+    double holdWorst;
+    int kills;
+    int splits;
+    int pauses;
+    int restarts;
+    int breaches;
+    int floors;
+    int disagreements;
+    int stuck;
+    long lost;
+    long doubles;
+    long served;
+    long calls;
+
+    double goodput() {
+      return (double) served / Math.max(1, calls);
+    }
+  }
+
+  @Override
+  public Figures run(boolean brief) throws Exception {
+    Size size = brief ? new Size(5, 3, 8, 150, 0) : new Size(10, 5, 24, 300, 600_000);
+    Figures.progress("faults with orders, and beside them the same faults with none");
+    // At one time, so that neither has the machine in a better hour.
+    ExecutorService both = Executors.newFixedThreadPool(2);
+    Run without;
+    Run with;
+    try {
+      Future<Run> none = both.submit(new Play(size, false)::run);
+      with = new Play(size, true).run();
+      without = none.get();
+    } finally {
+      both.shutdownNow();
+    }
+    Figures.progress("schedules in virtual time");
+    WorkExplorer.Played random = WorkExplorer.random(1, brief ? 3000 : 100_000, 200);
+    WorkExplorer.Played orders = WorkExplorer.orders(brief ? 2 : 4);
+    int violations = 0;
+    for (WorkExplorer.Played each : List.of(random, orders)) {
+      if (each.finding() != null) {
+        violations++;
+        Figures.progress(WorkExplorer.shortened(each.finding()).toString());
+      }
+    }
+    WorkMutants mutants = new WorkMutants();
+    int found = 0;
+    for (Mutant mutant : WorkMutants.ALL) {
+      boolean seen = mutants.found(mutant, brief ? 2000 : 10_000, brief ? 1 : 3);
+      found += seen ? 1 : 0;
+      if (!seen) {
+        Figures.progress("not found: " + mutant);
+      }
+    }
+    double[] settle = with.settleMillis.stream().mapToDouble(each -> each).sorted().toArray();
+    return new Figures()
+        .add("instances", size.instances())
+        .add("voters", size.voters())
+        .add("machines", size.machines())
+        .add("orders", with.orders.get())
+        .add("done", with.done.get())
+        .add("calls_after_out", with.breaches)
+        .add("floor_breaches", with.floors)
+        .add("order_disagreements", with.disagreements)
+        .add("stuck_orders", with.stuck)
+        .add("lost", with.lost)
+        .add("double_runs", with.doubles)
+        .add("goodput_share", Math.round(with.goodput() / without.goodput() * 1e4) / 1e4)
+        .rounded("settle_p50_ms", quantile(settle, 0.5))
+        .rounded("settle_p99_ms", quantile(settle, 0.99))
+        .rounded("takeover_worst_ms", with.takeoverWorst)
+        .rounded("cut_off_hold_worst_ms", with.holdWorst)
+        .add("leader_kills", with.kills)
+        .add("splits", with.splits)
+        .add("pauses", with.pauses)
+        .add("restarts", with.restarts)
+        .add("schedules", random.schedules() + orders.schedules())
+        .add("violations", violations)
+        .add("mutants", WorkMutants.ALL.size())
+        .add("mutants_found", found);
+  }
+
+  private static double quantile(double[] sorted, double share) {
+    return sorted.length == 0
+        ? -1
+        : sorted[(int) Math.min(sorted.length - 1, sorted.length * share)];
+  }
+
+  /** One run: a fleet, its clients, people who ask for machines, and the faults. */
+  private static final class Play {
+    private final Size size;
+    private final boolean ordering;
+    private final Run run = new Run();
+    private final SplittableRandom faults = new SplittableRandom(SEED);
+    private final Map<Node, OpenLoop> loads = new HashMap<>();
+    private final List<OpenLoop> ended = new ArrayList<>();
+
+    /** Loads at instances that nothing was done to while they ran. */
+    private final List<OpenLoop> calm = new ArrayList<>();
+
+    private final List<Thread> probes = new ArrayList<>();
+    private final Set<String> busy = new HashSet<>();
+    private final AtomicBoolean fault = new AtomicBoolean();
+    private volatile boolean over;
+    private Fleet fleet;
+
+    Play(Size size, boolean ordering) {
+      this.size = size;
+      this.ordering = ordering;
+    }
+
+    Run run() throws Exception {
+      Shape shape = Shape.warm(4, 64, ServiceTime.exponential(5));
+      String floor = "[[work.floor]]\nkind = \"front\"\nleast = 0.5\n";
+      try (Fleet started = new Fleet(SEED)) {
+        fleet = started;
+        fleet.servers(size.machines(), "front", shape);
+        fleet.start(
+            size.instances(), size.voters(), Terms.stopping(LEASE_MILLIS, MOST_OUT).with(floor));
+        for (Node node : fleet.nodes()) {
+          loads.put(node, load(node, true));
+        }
+        Thread.sleep(500);
+        List<Thread> people = new ArrayList<>();
+        for (int i = 0; ordering && i < 2; i++) {
+          int number = i;
+          Thread person = new Thread(() -> person(number), "person-" + i);
+          person.start();
+          people.add(person);
+        }
+        faults();
+        over = true;
+        people.addAll(probes);
+        for (Thread person : people) {
+          person.join();
+        }
+        for (Thread probe : probes) {
+          probe.join();
+        }
+        judge();
+      }
+      return run;
+    }
+
+    private OpenLoop load(Node node, boolean well) {
+      OpenLoop load = fleet.load(node, size.perSecond() / size.instances());
+      if (well) {
+        calm.add(load);
+      }
+      return load;
+    }
+
+    // ---- people ----
+
+    private String take(SplittableRandom random) {
+      synchronized (busy) {
+        String machine = "front-" + (1 + random.nextInt(size.machines()));
+        return busy.add(machine) ? machine : null;
+      }
+    }
+
+    private void release(String machine) {
+      synchronized (busy) {
+        busy.remove(machine);
+      }
+    }
+
+    private void person(int number) {
+      SplittableRandom random = new SplittableRandom(SEED + number);
+      while (!over) {
+        String machine = take(random);
+        if (machine != null) {
+          boolean quiet = !fault.get();
+          double settled = order(machine, null, 50 + random.nextInt(200), null, null);
+          if (quiet && !fault.get() && settled >= 0) {
+            synchronized (run.settleMillis) {
+              run.settleMillis.add(settled);
+            }
+          }
+          release(machine);
+        }
+      }
+    }
+
+    /** Asks at any instance that answers, or at one; null while nobody does. */
+    private Map<String, Object> any(Node first, String page, boolean post) {
+      List<Node> nodes = new ArrayList<>(fleet.nodes());
+      if (first != null) {
+        nodes.remove(first);
+        nodes.add(0, first);
+      }
+      for (Node node : nodes) {
+        try {
+          if (node.answers()) {
+            return post ? node.post(page) : node.get(page);
+          }
+        } catch (IOException e) {
+          // Killed, or cut off from the others; the next may do.
+        }
+      }
+      return null;
+    }
+
+    /**
+     * One machine out and back; milliseconds until it was being emptied, -1 if it never was.
+     *
+     * @param emptying told the same as soon as it is known, or null
+     * @param out likewise until it was out
+     */
+    private double order(
+        String machine,
+        Node at,
+        long holdMillis,
+        CompletableFuture<Double> emptying,
+        CompletableFuture<Double> out) {
+      long began = System.nanoTime();
+      String key = machine + '-' + run.orders.incrementAndGet();
+      String ask =
+          "work/ask?key=" + key + "&who=" + key + "&why=rig&for_ms=60000&machine=" + machine;
+      Map<String, Object> answer = null;
+      while (answer == null && System.nanoTime() - began < WAIT_NANOS) {
+        answer = any(at, ask, true);
+      }
+      if (answer == null) {
+        return -1;
+      }
+      long order = ((Number) answer.get("order")).longValue();
+      double settled = -1;
+      while (System.nanoTime() - began < WAIT_NANOS) {
+        String phase = phase(at, order);
+        if (settled < 0 && (phase.equals("emptying") || phase.equals("out"))) {
+          settled = (System.nanoTime() - began) / 1e6;
+          if (emptying != null) {
+            emptying.complete(settled);
+          }
+        }
+        if (phase.equals("out")) {
+          fleet.history().out(machine);
+          if (out != null) {
+            out.complete((System.nanoTime() - began) / 1e6);
+          }
+          sleep(holdMillis);
+          fleet.history().back(machine);
+          while (any(at, "work/done/" + order, true) == null
+              && !phase(at, order).matches("returning|done")) {
+            sleep(LOOK_MILLIS);
+          }
+          break;
+        }
+        sleep(LOOK_MILLIS);
+      }
+      while (System.nanoTime() - began < 2 * WAIT_NANOS) {
+        if (phase(at, order).equals("done")) {
+          run.done.incrementAndGet();
+          return settled;
+        }
+        sleep(LOOK_MILLIS * 5);
+      }
+      return settled;
+    }
+
+    private String phase(Node at, long order) {
+      Map<String, Object> page = any(at, "work/" + order, false);
+      if (page == null) {
+        return "unknown";
+      }
+      return String.valueOf(((Map<?, ?>) ((List<?>) page.get("standings")).get(0)).get("phase"));
+    }
+
+    private static void sleep(long millis) {
+      try {
+        Thread.sleep(millis);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+
+    // ---- faults ----
+
+    /** Each kind once, then drawn anew until the time is over. */
+    private void faults() throws Exception {
+      long until = System.nanoTime() + size.millis() * 1_000_000L;
+      int kinds = 6;
+      for (int i = 0; i < kinds || System.nanoTime() < until; i++) {
+        if (i >= kinds) {
+          sleep(1000 + faults.nextInt(4000));
+        }
+        fault.set(true);
+        fault(i < kinds ? i : faults.nextInt(kinds));
+        fault.set(false);
+        sleep(i < kinds ? 300 : 2000);
+      }
+      sleep(500);
+    }
+
+    private void fault(int kind) throws Exception {
+      Node leader = leader();
+      List<Node> others = new ArrayList<>(fleet.nodes());
+      others.remove(leader);
+      Node victim = others.get(faults.nextInt(others.size()));
+      Node witness = others.get((others.indexOf(victim) + 1) % others.size());
+      long span = size.millis() > 0 ? 1000L * (1 + faults.nextInt(9)) : 0;
+      long began = System.nanoTime();
+      switch (kind) {
+        case 0 -> {
+          run.kills++;
+          down(leader, "kill the leader", Node::kill);
+          Future<Double> settled = probe(witness, false);
+          hold(began, 2000);
+          run.takeoverWorst = Math.max(run.takeoverWorst, settled.get());
+          up(leader);
+        }
+        case 1 -> {
+          run.pauses++;
+          down(victim, "stop", Node::pause);
+          Future<Double> out = probe(witness, true);
+          hold(began, HOLD_MILLIS + span);
+          run.holdWorst = Math.max(run.holdWorst, out.get());
+          victim.resume();
+          up(victim);
+        }
+        case 2 -> {
+          run.splits++;
+          List<Node> rest = new ArrayList<>(fleet.nodes());
+          rest.remove(victim);
+          down(victim, "cut off", node -> fleet.split(List.of(node), rest, true));
+          Future<Double> out = probe(witness, true);
+          hold(began, HOLD_MILLIS + span);
+          run.holdWorst = Math.max(run.holdWorst, out.get());
+          fleet.split(List.of(victim), rest, false);
+          up(victim);
+        }
+        case 3 -> {
+          run.splits++;
+          down(victim, "nothing it says comes through", node -> fleet.mute(node, true, false));
+          hold(began, 1000 + span);
+          fleet.mute(victim, false, false);
+          up(victim);
+        }
+        case 4 -> {
+          run.restarts++;
+          down(victim, "restart", Node::end);
+          up(victim);
+        }
+        default -> {
+          run.restarts++;
+          Node plain = fleet.nodes().get(size.instances() - 1);
+          down(
+              plain,
+              "restart without its disk",
+              node -> {
+                node.kill();
+                node.loseDisk();
+              });
+          up(plain);
+        }
+      }
+    }
+
+    /** As long in the run without orders as in the other. */
+    private static void hold(long beganNanos, long millis) {
+      sleep(Math.max(0, millis - (System.nanoTime() - beganNanos) / 1_000_000));
+    }
+
+    private Node leader() throws InterruptedException {
+      while (true) {
+        Node leader = fleet.leader();
+        if (leader != null) {
+          return leader;
+        }
+        Thread.sleep(20);
+      }
+    }
+
+    /** A machine asked for in the middle of a fault: until it is being emptied, or out. */
+    private Future<Double> probe(Node at, boolean untilOut) {
+      CompletableFuture<Double> millis = new CompletableFuture<>();
+      if (!ordering) {
+        millis.complete(0.0);
+        return millis;
+      }
+      Thread person =
+          new Thread(
+              () -> {
+                SplittableRandom random = new SplittableRandom(run.orders.get());
+                String machine = null;
+                while (machine == null) {
+                  machine = take(random);
+                }
+                try {
+                  order(machine, at, 0, untilOut ? null : millis, untilOut ? millis : null);
+                } finally {
+                  release(machine);
+                  millis.complete(WAIT_NANOS / 1e6); // If it has not been told better.
+                }
+              },
+              "probe");
+      person.start();
+      probes.add(person);
+      return millis;
+    }
+
+    /** Clients that mind go first; then it is done. */
+    private void down(Node node, String what, Fleet.Deed deed) throws Exception {
+      move(node, false);
+      fleet.history().note(what + ": " + node.name());
+      Figures.progress("  " + what + ": " + node.name());
+      deed.to(node);
+    }
+
+    private void up(Node node) throws Exception {
+      if (!node.alive()) {
+        node.start();
+      }
+      long until = System.nanoTime() + WAIT_NANOS;
+      while (!inside(node) && System.nanoTime() < until) {
+        sleep(20);
+      }
+      fleet.history().note("well: " + node.name());
+      move(node, true);
+    }
+
+    private boolean inside(Node node) {
+      try {
+        Map<String, Object> page = node.get("work");
+        return node.serves() && ((Number) page.get("lease_left_ms")).longValue() > 1000;
+      } catch (IOException e) {
+        return false;
+      }
+    }
+
+    private void move(Node node, boolean well) throws InterruptedException {
+      OpenLoop before = loads.put(node, load(node, well));
+      before.stop();
+      ended.add(before);
+    }
+
+    // ---- the verdict ----
+
+    private void judge() throws Exception {
+      sleep(1000);
+      for (Node node : fleet.nodes()) {
+        OpenLoop load = loads.get(node);
+        load.stop();
+        ended.add(load);
+      }
+      for (OpenLoop load : ended) {
+        run.served += load.tally().count(Tally.Result.SERVED);
+        run.calls += load.tally().total();
+      }
+      run.breaches = fleet.history().breaches().size();
+      fleet.history().breaches().forEach(each -> Figures.progress("  breach " + each));
+      run.floors = fleet.history().mostOut() > MOST_OUT ? 1 : 0;
+      run.stuck = run.orders.get() - run.done.get();
+      run.lost = fleet.ledger().lost(path -> calm.stream().anyMatch(load -> load.owns(path)));
+      run.doubles = fleet.ledger().doubles(path -> path.contains("publish"));
+      run.disagreements = disagreements();
+    }
+
+    /** Instances whose picture after the same entry is not that of the others. */
+    private int disagreements() throws Exception {
+      Map<Long, Set<String>> pictures = new TreeMap<>();
+      Map<Long, Integer> seen = new TreeMap<>();
+      int worst = 0;
+      for (int i = 0; i < 40; i++) {
+        for (Node node : fleet.nodes()) {
+          Map<String, Object> page = node.get("work/settled");
+          long index = ((Number) page.get("index")).longValue();
+          pictures.computeIfAbsent(index, any -> new HashSet<>()).add(page.toString());
+          seen.merge(index, 1, Integer::sum);
+        }
+      }
+      int compared = 0;
+      for (long index : pictures.keySet()) {
+        worst = Math.max(worst, pictures.get(index).size() - 1);
+        compared += seen.get(index) > 1 ? 1 : 0;
+      }
+      if (compared == 0) {
+        throw new IllegalStateException("no two instances were seen after the same entry");
+      }
+      return worst;
+    }
+  }
+}
--- a/src/main/java/maplehall/agreement/Agreement.java
+++ b/src/main/java/maplehall/agreement/Agreement.java
@@ -81,6 +81,11 @@
     }
   }
 
+  private interface Task<T> {
+    T run() throws IOException;
+  }
+
+  private final List<RaftPeer> peers;
   private final RaftServer server;
   private final RaftClient client;
   private final LogMachine machine;
@@ -99,6 +104,7 @@
     Files.createDirectories(folder);
     machine = new LogMachine(replica);
     RaftGroup group = group(peers);
+    this.peers = List.copyOf(group.getPeers());
     Parameters parameters = new Parameters();
     RaftProperties settings = new RaftProperties();
     RaftConfigKeys.Rpc.setType(settings, SupportedRpcType.GRPC);
@@ -185,12 +191,16 @@
    * @param entry writes it, on a thread of this class
    */
   public CompletableFuture<byte[]> submit(Supplier<byte[]> entry) {
-    CompletableFuture<byte[]> answer = new CompletableFuture<>();
+    return on(() -> send(entry.get()));
+  }
+
+  private <T> CompletableFuture<T> on(Task<T> task) {
+    CompletableFuture<T> answer = new CompletableFuture<>();
     try {
       submitters.execute(
           () -> {
             try {
-              answer.complete(send(entry.get()));
+              answer.complete(task.run());
             } catch (IOException | RuntimeException e) {
               answer.completeExceptionally(e);
             }
@@ -212,6 +222,48 @@
     return reply.getMessage().getContent().toByteArray();
   }
 
+  /** The names of those that vote, as far as this instance knows. */
+  public List<String> voters() throws IOException {
+    return server.getDivision(GROUP).getRaftConf().getCurrentPeers().stream()
+        .map(peer -> peer.getId().toString())
+        .sorted()
+        .toList();
+  }
+
+  /**
+   * Has a peer vote from now on, or no longer; one at a time, so that a majority of those before
+   * and one of those after always have a member in common. Returns when a majority has settled it;
+   * one that is to vote has the whole log by then.
+   *
+   * @param peer one of the peers that the configuration names
+   */
+  public CompletableFuture<List<String>> vote(String peer, boolean votes) {
+    return on(
+        () -> {
+          List<RaftPeer> voting = new ArrayList<>();
+          List<RaftPeer> other = new ArrayList<>();
+          List<String> before = voters();
+          for (RaftPeer each : peers) {
+            String name = each.getId().toString();
+            boolean now = name.equals(peer) ? votes : before.contains(name);
+            (now ? voting : other).add(each);
+          }
+          if (voting.isEmpty() || peers.stream().noneMatch(each -> is(each, peer))) {
+            throw new IOException(
+                voting.isEmpty() ? "somebody must vote" : "no peer " + peer + " is configured");
+          }
+          RaftClientReply reply = client.admin().setConfiguration(voting, other);
+          if (!reply.isSuccess()) {
+            throw new IOException("not changed: " + reply.getException());
+          }
+          return voting.stream().map(each -> each.getId().toString()).sorted().toList();
+        });
+  }
+
+  private static boolean is(RaftPeer peer, String name) {
+    return peer.getId().toString().equals(name);
+  }
+
   /** Who leads as far as this instance knows, or an empty text. */
   public String leader() {
     try {
--- a/src/main/java/maplehall/cli/WorkCommand.java
+++ b/src/main/java/maplehall/cli/WorkCommand.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import maplehall.standalone.StandaloneConfig;
+import maplehall.work.WorkFolder;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -54,6 +55,25 @@
     return spec.commandLine().getErr();
   }
 
+  @Command(
+      name = "init",
+      description = "Makes the folder of one that votes: once, for a new installation.")
+  int init() {
+    StandaloneConfig read = Asking.config(spec, config);
+    if (read == null || read.work() == null) {
+      err().println(config + ": no usable table [work]");
+      return 1;
+    }
+    try {
+      boolean made = WorkFolder.make(read.work());
+      out().println(read.work().folder() + (made ? " is made" : " is there already"));
+      return 0;
+    } catch (IOException e) {
+      err().println(read.work().folder() + ": " + e.getMessage());
+      return 1;
+    }
+  }
+
   @Command(name = "request", description = "Asks for machines; the same request twice is one.")
   int request(
       @Option(names = "--machine", paramLabel = "ID") List<String> machines,
@@ -102,8 +122,10 @@
 
   /** Until as many machines are out as may be at once, or no more will go. */
   private int waitFor(long order) throws InterruptedException {
+    boolean silent = false;
     while (true) {
-      AdminClient.Answer answer = answer(admin -> admin.get("work/" + order));
+      AdminClient.Answer answer = silent ? quiet(order) : answer(at -> at.get("work/" + order));
+      silent = answer == null; // Said once.
       if (answer != null && answer.status() == 200) {
         Map<?, ?> phases = (Map<?, ?>) answer.body().get("phases");
         long out = count(phases, "out");
@@ -122,6 +144,16 @@
     }
   }
 
+  /** An order's page, or null without a word. */
+  private AdminClient.Answer quiet(long order) {
+    try {
+      return new AdminClient(StandaloneConfig.read(config).config().admin().listen())
+          .get("work/" + order);
+    } catch (IOException e) {
+      return null;
+    }
+  }
+
   private static long count(Map<?, ?> phases, String phase) {
     return phases.get(phase) instanceof Number number ? number.longValue() : 0;
   }
@@ -220,6 +252,14 @@
     return told(answer(admin -> admin.post("work/cancel/" + order)));
   }
 
+  @Command(name = "vote", description = "Has an instance vote, or with --no longer; one at a time.")
+  int vote(
+      @Parameters(paramLabel = "INSTANCE") String instance,
+      @Option(names = "--no", description = "It votes no longer.") boolean no) {
+    String path = (no ? "work/unvote/" : "work/vote/") + encoded(instance);
+    return told(answer(admin -> admin.post(path)));
+  }
+
   @Command(
       name = "fence",
       description = "Says that an instance does not run: orders no longer wait for it.")
--- a/src/main/java/maplehall/work/WorkOrders.java
+++ b/src/main/java/maplehall/work/WorkOrders.java
@@ -62,10 +62,17 @@
 
   private boolean emptied;
 
+  /** Whether it has been inside. */
+  private boolean begun;
+
   /** Lays itself over the node's lists; before its start. */
   public WorkOrders(Node node, WorkTable table) throws CannotStart {
     this.node = node;
     this.table = table;
+    String lost = WorkFolder.missing(table);
+    if (lost != null) {
+      throw new CannotStart(lost);
+    }
     ledger = new Ledger(this::news);
     participant =
         new Participant(table.instance(), table.stops(), table.stoppingMillis(), table.rules());
@@ -126,6 +133,7 @@
         say(command);
       }
       if (inside != participant.inside()) {
+        begun |= participant.inside();
         Log.info("work", table.instance() + (inside ? " is outside" : " is inside"));
       }
       watchLease();
@@ -162,8 +170,8 @@
 
   /** Takes no more clients before the lease ends, and owes nobody an answer when it has ended. */
   private void watchLease() {
-    if (!table.stops() || !cut && !emptied && !participant.inside()) {
-      return; // Not yet begun, or nothing to end.
+    if (!table.stops() || !begun) {
+      return; // Before it is inside for the first time it takes nobody.
     }
     long now = System.nanoTime();
     if (participant.takesClients(now)) {
@@ -253,6 +261,19 @@
     return agreement.submit(() -> Ledger.bytes(command)).thenApply(Ledger::reply);
   }
 
+  CompletableFuture<List<String>> vote(String peer, boolean votes) {
+    return agreement.vote(peer, votes);
+  }
+
+  /** Those that vote, as far as this instance knows. */
+  List<String> voters() {
+    try {
+      return agreement.voters();
+    } catch (IOException e) {
+      return List.of();
+    }
+  }
+
   String leader() {
     return agreement.leader();
   }
--- a/src/main/java/maplehall/work/WorkPages.java
+++ b/src/main/java/maplehall/work/WorkPages.java
@@ -74,6 +74,7 @@
     Map<String, Object> page = new LinkedHashMap<>();
     page.put("instance", table.instance());
     page.put("leader", orders.leader());
+    page.put("voters", orders.voters());
     page.put("entry", settled.index());
     page.put("log_ms", settled.nowMillis());
     page.put("when_cut_off", table.stops() ? "stop" : "serve");
@@ -158,6 +159,8 @@
         case "extend" ->
             send(new Command.Extend(Long.parseLong(words[1]), Long.parseLong(words[2])), reply);
         case "cancel" -> send(new Command.Cancel(Long.parseLong(words[1])), reply);
+        case "vote" -> vote(words[1], true, reply);
+        case "unvote" -> vote(words[1], false, reply);
         case "fence" -> send(new Command.Fence(words[1]), reply);
         default -> throw new IllegalArgumentException(words[0]);
       }
@@ -166,7 +169,7 @@
           AdminServer.Reply.error(
               400,
               "work/ask?..., done/ORDER[/MACHINE], extend/ORDER/MILLIS, cancel/ORDER or"
-                  + " fence/INSTANCE expected: "
+                  + " fence/INSTANCE, vote/INSTANCE or unvote/INSTANCE expected: "
                   + e.getMessage()));
     }
   }
@@ -200,6 +203,17 @@
         reply);
   }
 
+  private void vote(String peer, boolean votes, Consumer<AdminServer.Reply> reply) {
+    orders
+        .vote(peer, votes)
+        .whenComplete(
+            (voters, failure) ->
+                reply.accept(
+                    voters == null
+                        ? AdminServer.Reply.error(503, failure.getMessage())
+                        : AdminServer.Reply.ok(Map.of("voters", voters))));
+  }
+
   private static String word(Map<String, List<String>> words, String key, String otherwise) {
     List<String> values = words.get(key);
     if (values == null && otherwise == null) {
--- a/src/main/java/meadowtrack/work/Settled.java
+++ b/src/main/java/meadowtrack/work/Settled.java
@@ -27,6 +27,9 @@
 
   public static final int MOST_INSTANCES = 64;
 
+  /** No work takes longer than a year. */
+  private static final long MOST_MILLIS = 366L * 24 * 3600 * 1000;
+
   /** Rounds that an urgent order goes before others; so it is overtaken and overtakes in bounds. */
   static final int URGENT_ROUNDS = 8;
 
@@ -153,7 +156,9 @@
     }
     // The entry's own time, not the latest: the lease runs from before it was sent.
     instance.renewedMillis = Math.max(instance.renewedMillis, stampMillis);
-    if (renew.report() != null) {
+    // One that was held up on its way says nothing newer.
+    Report before = instance.report;
+    if (renew.report() != null && (before == null || renew.report().index() >= before.index())) {
       instance.report = renew.report();
       instance.reportedMillis = nowMillis;
     }
@@ -226,8 +231,11 @@
     if (machines == 0) {
       return "names no machine";
     }
-    if (ask.atOnce() < 1 || ask.forMillis() < 1) {
-      return "at least one machine at once, for some time, is expected";
+    if (ask.atOnce() < 1 || ask.forMillis() < 1 || ask.forMillis() > MOST_MILLIS) {
+      return "at least one machine at once is expected, for a year at most";
+    }
+    if (ask.notBeforeMillis() < 0 || ask.notAfterMillis() < 0) {
+      return "spans from now are expected, none of them negative";
     }
     if (orders.size() >= MOST_ORDERS) {
       return "there are " + MOST_ORDERS + " orders already";
@@ -282,7 +290,7 @@
 
   private Reply extend(Command.Extend extend) {
     Order order = orders.get(extend.order());
-    if (order == null || extend.millis() < 1) {
+    if (order == null || extend.millis() < 1 || extend.millis() > MOST_MILLIS) {
       return Reply.no("no order " + extend.order() + " that could be extended so");
     }
     for (Order.Place place : order.places()) {
--- a/src/test/java/loadrig/ChecksTest.java
+++ b/src/test/java/loadrig/ChecksTest.java
@@ -50,4 +50,11 @@
     call("ran and refused", 1, Tally.Result.REFUSED);
     assertEquals(2, ledger.untrue(id -> true));
   }
+
+  @Test
+  void onlyTheCallsThatAreNamedCountAsLost() {
+    call("here", 1, Tally.Result.LOST);
+    call("there", 1, Tally.Result.LOST);
+    assertEquals(1, ledger.lost(id -> id.equals("here")));
+  }
 }
--- a/src/test/java/maplehall/work/WorkTest.java
+++ b/src/test/java/maplehall/work/WorkTest.java
@@ -1,19 +1,24 @@
 package maplehall.work;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import loadrig.client.OpenLoop;
 import loadrig.fleet.Fleet;
 import loadrig.fleet.Node;
 import loadrig.fleet.Terms;
 import loadrig.server.ServiceTime;
 import loadrig.server.Shape;
+import maplehall.standalone.StandaloneConfig;
 import org.junit.jupiter.api.Test;
 import testing.Await;
 
@@ -117,6 +122,11 @@
     }
   }
 
+  private static Map<String, Object> voted(Node node, String away, String in) throws IOException {
+    node.post("work/vote/" + in);
+    return node.post("work/unvote/" + away);
+  }
+
   private static boolean fenced(Node node, Node of) {
     try {
       for (Object each : (List<?>) node.get("work").get("instances")) {
@@ -155,4 +165,101 @@
       verdict(fleet);
     }
   }
+
+  /** With an empty folder it would vote as if it had never voted; it must not start so. */
+  @Test
+  void aVoterThatHasLostItsFolderDoesNotStart() throws Exception {
+    try (Fleet fleet = new Fleet(4)) {
+      fleet.servers(3, "front", SHAPE).start(4, 3, Terms.serving(1));
+      Node voter = fleet.node(3);
+      Node other = fleet.node(4);
+      for (Node node : List.of(voter, other)) {
+        node.kill();
+        node.loseDisk();
+      }
+      IOException refused = assertThrows(IOException.class, voter::start);
+      assertTrue(refused.getMessage().contains("must not vote"), refused.getMessage());
+      other.start();
+      Await.until("one that does not vote takes the log anew", other::serves);
+      // Others vote in its place, one change at a time; then it is let in anew and votes again.
+      fleet.node(1).post("work/unvote/" + voter.name());
+      assertEquals(
+          List.of("edge-1", "edge-2", "edge-4"),
+          fleet.node(1).post("work/vote/" + other.name()).get("voters"));
+      fleet.node(1).kill();
+      long order = ask(fleet.node(2), "front-1");
+      fleet.node(2).post("work/fence/edge-1");
+      fleet.node(2).post("work/fence/edge-3");
+      awaitOut(fleet, fleet.node(2), order, "front-1");
+      WorkFolder.make(StandaloneConfig.read(voter.config()).config().work());
+      voter.start();
+      assertEquals(
+          List.of("edge-2", "edge-3", "edge-4"),
+          voted(fleet.node(2), "edge-1", "edge-3").get("voters"));
+      Await.until("it knows all", () -> phase(voter, order).equals("out"));
+    }
+  }
+
+  /** Twins, asked for in the same moment on both sides of a split: one goes after the other. */
+  @Test
+  void twinsAskedForOnBothSidesOfASplitGoOneAfterTheOther() throws Exception {
+    try (Fleet fleet = new Fleet(5)) {
+      fleet.servers(3, "front", SHAPE).start(3, 3, Terms.stopping(1500, 1));
+      load(fleet);
+      Node leader = fleet.leader();
+      List<Node> rest = new ArrayList<>(fleet.nodes());
+      rest.remove(leader);
+      fleet.split(List.of(leader), rest, true);
+      CompletableFuture<Long> minority =
+          CompletableFuture.supplyAsync(() -> askedAtLast(leader, "front-1"));
+      long first = askedAtLast(rest.get(0), "front-2");
+      awaitOut(fleet, rest.get(0), first, "front-2");
+      assertFalse(minority.isDone(), "settled without a majority");
+      fleet.split(List.of(leader), rest, false);
+      long second = minority.get(60, TimeUnit.SECONDS);
+      Await.until("it serves again", () -> !fenced(rest.get(0), leader));
+      assertEquals("waiting", phase(rest.get(0), second));
+      done(fleet, leader, first, "front-2");
+      awaitOut(fleet, leader, second, "front-1");
+      assertEquals(1, fleet.history().mostOut());
+      done(fleet, rest.get(0), second, "front-1");
+      verdict(fleet);
+    }
+  }
+
+  private static long askedAtLast(Node node, String machine) {
+    for (int tries = 0; tries < 60; tries++) {
+      try {
+        return ask(node, machine);
+      } catch (IOException e) {
+        // No majority there, or none yet; the same request again is the same order.
+      }
+    }
+    throw new AssertionError(machine + " could not be asked for at " + node.name());
+  }
+
+  /** All at once, in the middle of an order: nobody begins without knowing what is out. */
+  @Test
+  void aRestartOfAllAtOnceForgetsNothing() throws Exception {
+    try (Fleet fleet = new Fleet(6)) {
+      fleet.servers(3, "front", SHAPE).start(4, 3, Terms.serving(1));
+      load(fleet);
+      long out = ask(fleet.node(1), "front-1");
+      long next = ask(fleet.node(4), "front-2");
+      awaitOut(fleet, fleet.node(4), out, "front-1");
+      fleet.all(Node::kill);
+      fleet.all(Node::start);
+      for (Node node : fleet.nodes()) {
+        Await.until(node.name() + " serves", node::serves);
+        assertEquals("out", phase(node, out));
+        assertEquals("waiting", phase(node, next));
+      }
+      long before = fleet.servers().get(1).received();
+      Await.until("calls", () -> fleet.servers().get(1).received() > before + 50);
+      done(fleet, fleet.node(2), out, "front-1");
+      awaitOut(fleet, fleet.node(3), next, "front-2");
+      done(fleet, fleet.node(3), next, "front-2");
+      verdict(fleet);
+    }
+  }
 }
