Take balancers out in turn by the same orders, and measure work orders in processes

An upgrade of the balancers had no order of its own. A balancer is asked for like a machine: one at a time, only while all others are heard; it sends its clients away, hands leadership on, says itself that it has left and stays out until "done". The schedules showed that a return with any new process came too early, and a balancer that lost its place while it was to leave stuck; both mended. An entry that comes while leadership is handed on is tried again.

--- a/src/main/java/loadrig/fleet/Node.java
+++ b/src/main/java/loadrig/fleet/Node.java
@@ -61,6 +61,11 @@
     return config;
   }
 
+  /** Its list of servers. */
+  public Path members() {
+    return workplace.members();
+  }
+
   public Path log() {
     return workplace.folder().resolve("log");
   }
--- a/src/main/java/loadrig/work/Sim.java
+++ b/src/main/java/loadrig/work/Sim.java
@@ -164,6 +164,9 @@
     double worth = World.MACHINES.size();
     List<String> warm = new ArrayList<>();
     for (Settled.Away each : settled.away()) {
+      if (!World.MACHINES.contains(each.machine())) {
+        continue; // A balancer.
+      }
       boolean returned =
           each.phase() == Phase.RETURNING
               && clock() - backNanos.getOrDefault(each.machine(), clock()) >= RETURN_NANOS;
@@ -186,7 +189,8 @@
   public List<Settled.Away> empty() {
     List<Settled.Away> empty = new ArrayList<>();
     for (Settled.Away each : settled.away()) {
-      if (each.phase() == Phase.EMPTYING
+      if (World.MACHINES.contains(each.machine())
+          && each.phase() == Phase.EMPTYING
           && calls.stream().noneMatch(call -> call.machine.equals(each.machine()))) {
         empty.add(each);
       }
@@ -199,6 +203,16 @@
     return settled.rules().leaseMillis();
   }
 
+  @Override
+  public boolean leaves() {
+    return settled.leaves(name);
+  }
+
+  @Override
+  public boolean emptied() {
+    return calls.isEmpty();
+  }
+
   @Override
   public long draw() {
     return world.draw();
--- a/src/main/java/loadrig/work/WorkMeasurement.java
+++ b/src/main/java/loadrig/work/WorkMeasurement.java
@@ -34,9 +34,10 @@
   private static final long SEED = 28;
   private static final long LEASE_MILLIS = 2000;
   private static final int MOST_OUT = 3;
+  private static final int PEOPLE = 3;
 
   /** Long enough for an order to go on without one that is cut off. */
-  private static final long HOLD_MILLIS = 3500;
+  private static final long HOLD_MILLIS = 3000;
 
   private static final long WAIT_NANOS = 30_000_000_000L;
   private static final long LOOK_MILLIS = 3;
@@ -96,8 +97,9 @@
     }
     WorkMutants mutants = new WorkMutants();
     int found = 0;
-    for (Mutant mutant : WorkMutants.ALL) {
-      boolean seen = mutants.found(mutant, brief ? 2000 : 10_000, brief ? 1 : 3);
+    List<Mutant> tried = brief ? WorkMutants.ALL.subList(0, 16) : WorkMutants.ALL;
+    for (Mutant mutant : tried) {
+      boolean seen = mutants.found(mutant, brief ? 4000 : 10_000, brief ? 1 : 3);
       found += seen ? 1 : 0;
       if (!seen) {
         Figures.progress("not found: " + mutant);
@@ -127,7 +129,7 @@
         .add("restarts", with.restarts)
         .add("schedules", random.schedules() + orders.schedules())
         .add("violations", violations)
-        .add("mutants", WorkMutants.ALL.size())
+        .add("mutants", tried.size())
         .add("mutants_found", found);
   }
 
@@ -173,12 +175,13 @@
         }
         Thread.sleep(500);
         List<Thread> people = new ArrayList<>();
-        for (int i = 0; ordering && i < 2; i++) {
+        for (int i = 0; ordering && i < PEOPLE; i++) {
           int number = i;
           Thread person = new Thread(() -> person(number), "person-" + i);
           person.start();
           people.add(person);
         }
+        sleep(size.millis() > 0 ? 30_000 : 3000); // Calm, for what settling takes.
         faults();
         over = true;
         people.addAll(probes);
@@ -222,12 +225,16 @@
         String machine = take(random);
         if (machine != null) {
           boolean quiet = !fault.get();
-          double settled = order(machine, null, 50 + random.nextInt(200), null, null);
-          if (quiet && !fault.get() && settled >= 0) {
-            synchronized (run.settleMillis) {
-              run.settleMillis.add(settled);
-            }
-          }
+          CompletableFuture<Double> emptying = new CompletableFuture<>();
+          emptying.thenAccept(
+              settled -> {
+                if (quiet && !fault.get()) {
+                  synchronized (run.settleMillis) {
+                    run.settleMillis.add(settled);
+                  }
+                }
+              });
+          order(machine, null, 50 + random.nextInt(200), emptying, null);
           release(machine);
         }
       }
@@ -253,12 +260,12 @@
     }
 
     /**
-     * One machine out and back; milliseconds until it was being emptied, -1 if it never was.
+     * One machine out and back.
      *
-     * @param emptying told the same as soon as it is known, or null
+     * @param emptying told milliseconds until it was being emptied, or null
      * @param out likewise until it was out
      */
-    private double order(
+    private void order(
         String machine,
         Node at,
         long holdMillis,
@@ -273,7 +280,7 @@
         answer = any(at, ask, true);
       }
       if (answer == null) {
-        return -1;
+        return;
       }
       long order = ((Number) answer.get("order")).longValue();
       double settled = -1;
@@ -303,11 +310,10 @@
       while (System.nanoTime() - began < 2 * WAIT_NANOS) {
         if (phase(at, order).equals("done")) {
           run.done.incrementAndGet();
-          return settled;
+          return;
         }
         sleep(LOOK_MILLIS * 5);
       }
-      return settled;
     }
 
     private String phase(Node at, long order) {
@@ -339,7 +345,7 @@
         fault.set(true);
         fault(i < kinds ? i : faults.nextInt(kinds));
         fault.set(false);
-        sleep(i < kinds ? 300 : 2000);
+        sleep(i < kinds ? 100 : 2000);
       }
       sleep(500);
     }
@@ -384,7 +390,7 @@
         case 3 -> {
           run.splits++;
           down(victim, "nothing it says comes through", node -> fleet.mute(node, true, false));
-          hold(began, 1000 + span);
+          hold(began, 700 + span);
           fleet.mute(victim, false, false);
           up(victim);
         }
--- a/src/main/java/loadrig/work/WorkMutants.java
+++ b/src/main/java/loadrig/work/WorkMutants.java
@@ -53,6 +53,10 @@
           new Mutant(PARTICIPANT, "      outside(nowNanos); // Fenced.\n", ""),
           new Mutant(PARTICIPANT, "if (here.joined(incarnation)) {", "if (true) {"),
           new Mutant(PARTICIPANT, "      before = reply.order();\n", ""),
+          new Mutant(PARTICIPANT, "    if (saidLeave) {\n      return false;", "    if (false) {"),
+          new Mutant(PARTICIPANT, "if (saidLeave && !leaving) {", "if (false) {"),
+          new Mutant(SETTLED, "if (place.machine.instance() != null) {", "if (false) {"),
+          new Mutant(SETTLED, "own != null && own.phase == Phase.OUT) {", "false) {"),
           new Mutant(CLOCK, "if (entryTerm != readTerm) {", "if (false) {"),
           new Mutant(
               CLOCK,
--- a/src/main/java/loadrig/work/World.java
+++ b/src/main/java/loadrig/work/World.java
@@ -12,6 +12,7 @@
 import meadowtrack.work.Group;
 import meadowtrack.work.LogClock;
 import meadowtrack.work.Machine;
+import meadowtrack.work.Participant;
 import meadowtrack.work.Phase;
 import meadowtrack.work.Reply;
 import meadowtrack.work.Rules;
@@ -36,9 +37,13 @@
 
   static final int LIMITED = LIMITS.size();
 
+  /** The number of the order that takes balancers out. */
+  private static final int BALANCERS = 3;
+
   private static final int INSTANCES = 3;
   private static final long MILLI = 1_000_000L;
   private static final int MOST_PENDING = 64;
+  private static final int MOST_SHOWN = 80;
 
   /** What holds in every state; its name is what a finding says. */
   enum Property {
@@ -54,7 +59,7 @@
     AT_ONCE,
     /** No machine is with two orders. */
     ONE_ORDER,
-    /** With all well again every order comes to its end. */
+    /** With all well again every order comes to its end, and every instance may send. */
     NOT_STUCK
   }
 
@@ -64,8 +69,10 @@
     public String toString() {
       StringBuilder text =
           new StringBuilder(property + ": " + what + "; stops " + stops + ", limits " + limited);
-      events.forEach(
-          event -> text.append("\n  ").append(event.kind()).append(' ').append(event.at()));
+      events.stream()
+          .limit(MOST_SHOWN)
+          .forEach(
+              event -> text.append("\n  ").append(event.kind()).append(' ').append(event.at()));
       return text.toString();
     }
   }
@@ -103,7 +110,7 @@
   /** Something that was said and has not been answered. */
   private static final class Said {
     final Sim by;
-    final meadowtrack.work.Participant process;
+    final Participant process;
     final Command command;
     long readTerm = -1;
     long readMillis;
@@ -139,6 +146,9 @@
   private long draws;
   private int asked;
 
+  /** The balancers that are out. */
+  private final Set<String> wentOut = new HashSet<>();
+
   private final int limited;
 
   /** One of so many kinds of limits. */
@@ -290,7 +300,7 @@
       case ASK -> ask(at);
       case DONE -> say(new Command.Done(at, null));
       case CANCEL -> say(new Command.Cancel(at));
-      case FENCE -> say(new Command.Fence(sims.get(at).name));
+      case FENCE -> say(new Command.Fence(sims.get(at).name, false));
     }
     check();
     return this;
@@ -395,7 +405,11 @@
 
   private void ask(int number) {
     List<Machine> machines = new ArrayList<>();
-    for (int i = 0; i <= number % 3; i++) {
+    if (number == BALANCERS) {
+      machines.add(Machine.balancer(sims.get(2).name));
+      machines.add(Machine.balancer(sims.get(1).name));
+    }
+    for (int i = 0; i <= number % 3 && number != BALANCERS; i++) {
       int m = (number + i) % MACHINES.size();
       machines.add(new Machine(MACHINES.get(m), "store", "a", m / 2, 1, "at-" + m));
     }
@@ -423,11 +437,14 @@
     Map<Long, Integer> orders = new HashMap<>();
     Rules rules = LIMITS.get(limited);
     int out = 0;
+    int balancers = 0;
     for (Settled.Away each : all.away()) {
       if (!held.add(each.machine())) {
         found(Property.ONE_ORDER, each.machine() + " is with two orders");
       }
-      if (each.phase().held()) {
+      String balancer = Machine.instance(each.machine());
+      balancers += balancer != null ? 1 : 0;
+      if (each.phase().held() && balancer == null) {
         out++;
         long cell = MACHINES.indexOf(each.machine()) / 2;
         if (cells.merge(cell, 1, Integer::sum) > rules.mostOutInCell()) {
@@ -438,6 +455,15 @@
         }
       }
     }
+    for (Settled.Away each : all.away()) {
+      String balancer = Machine.instance(each.machine());
+      if (balancer != null) {
+        stays(balancer, each.phase());
+      }
+    }
+    if (balancers > 1) {
+      found(Property.FLOORS, balancers + " balancers are away");
+    }
     double least = 0;
     for (Floor floor : rules.floors()) {
       least = floor.least() * MACHINES.size();
@@ -456,6 +482,24 @@
     }
   }
 
+  /** A balancer that is out comes back when somebody says so, whatever process it has. */
+  private void stays(String balancer, Phase phase) {
+    for (Sim sim : sims) {
+      if (sim.name.equals(balancer)) {
+        if (phase == Phase.OUT) {
+          wentOut.add(balancer);
+          if (all.joined(balancer, all.incarnation(balancer))) {
+            found(Property.OUT_MEANS_OUT, balancer + " is out and has joined");
+          }
+        } else if (phase == Phase.RETURNING
+            && wentOut.remove(balancer)
+            && events.get(events.size() - 1).kind() != Kind.DONE) {
+          found(Property.OUT_MEANS_OUT, balancer + " came back by itself");
+        }
+      }
+    }
+  }
+
   /** All is well again, and people say of whatever is out that it is done: nothing may be left. */
   World calm() {
     int dead = -1;
@@ -463,7 +507,7 @@
       Sim sim = sims.get(i);
       sim.cut = false;
       sim.paused = false;
-      if (!sim.alive && dead < 0) {
+      if (!sim.alive && dead < 0 && asked <= BALANCERS) {
         dead = i; // One stays dead: the others go on without it.
       } else if (!sim.alive) {
         play(new Event(Kind.START, i));
@@ -491,9 +535,22 @@
           play(new Event(Kind.TAKE, i));
         }
       }
+      for (int i = 0; i < sims.size(); i++) {
+        Settled.Away own = null;
+        for (Settled.Away each : all.away()) {
+          own = sims.get(i).name.equals(Machine.instance(each.machine())) ? each : own;
+        }
+        if (own != null && own.phase() == Phase.OUT && i != dead) {
+          play(new Event(Kind.KILL, i)); // The upgrade that it was taken out for.
+          play(new Event(Kind.START, i));
+          play(new Event(Kind.LEAD, (i + 1) % sims.size()));
+          play(new Event(Kind.DONE, (int) own.order()));
+        }
+      }
       boolean left = false;
       for (long order : all.orders()) {
-        if (all.phases(order).containsKey(Phase.OUT)) {
+        boolean servers = Machine.instance(all.standings(order, 1).get(0).machine()) == null;
+        if (servers && all.phases(order).containsKey(Phase.OUT)) {
           play(new Event(Kind.DONE, (int) order));
         }
         Set<Phase> phases = new HashSet<>(all.phases(order).keySet());
@@ -501,6 +558,10 @@
         phases.remove(Phase.ABANDONED);
         left |= !phases.isEmpty();
       }
+      for (int i = 0; i < sims.size(); i++) {
+        Sim sim = sims.get(i);
+        left |= i != dead && !sim.participant.maySend(sim.clock());
+      }
       if (!left && round > 5) {
         return this;
       }
--- a/src/main/java/maplehall/agreement/Agreement.java
+++ b/src/main/java/maplehall/agreement/Agreement.java
@@ -31,6 +31,7 @@
 import org.apache.ratis.protocol.RaftGroupId;
 import org.apache.ratis.protocol.RaftPeer;
 import org.apache.ratis.protocol.RaftPeerId;
+import org.apache.ratis.protocol.exceptions.LeaderSteppingDownException;
 import org.apache.ratis.retry.RetryPolicies;
 import org.apache.ratis.rpc.SupportedRpcType;
 import org.apache.ratis.server.RaftServer;
@@ -63,6 +64,7 @@
 
   private static final long ELECTION_TO_MILLIS = 650;
 
+  private static final long HAND_ON_MILLIS = 2000;
   private static final long REQUEST_MILLIS = 700;
   private static final int TRIES = 100;
   private static final long BETWEEN_TRIES_MILLIS = 50;
@@ -85,6 +87,7 @@
     T run() throws IOException;
   }
 
+  private final String self;
   private final List<RaftPeer> peers;
   private final RaftServer server;
   private final RaftClient client;
@@ -104,6 +107,7 @@
     Files.createDirectories(folder);
     machine = new LogMachine(replica);
     RaftGroup group = group(peers);
+    this.self = self;
     this.peers = List.copyOf(group.getPeers());
     Parameters parameters = new Parameters();
     RaftProperties settings = new RaftProperties();
@@ -215,11 +219,28 @@
     if (entry.length > MOST_ENTRY_BYTES) {
       throw new IOException("an entry of " + entry.length + " bytes; at most " + MOST_ENTRY_BYTES);
     }
-    RaftClientReply reply = client.io().send(Message.valueOf(ByteString.copyFrom(entry)));
-    if (!reply.isSuccess()) {
-      throw new IOException("not taken: " + reply.getException());
+    for (int tries = 1; ; tries++) {
+      IOException failure;
+      try {
+        RaftClientReply reply = client.io().send(Message.valueOf(ByteString.copyFrom(entry)));
+        if (reply.isSuccess()) {
+          return reply.getMessage().getContent().toByteArray();
+        }
+        failure = reply.getException();
+      } catch (LeaderSteppingDownException e) {
+        failure = e;
+      }
+      // Leadership is being handed on: the entry was not taken, and somebody else takes it soon.
+      if (!(failure instanceof LeaderSteppingDownException) || tries >= TRIES) {
+        throw new IOException("not taken: " + failure, failure);
+      }
+      try {
+        Thread.sleep(BETWEEN_TRIES_MILLIS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        throw new IOException("ending", e);
+      }
     }
-    return reply.getMessage().getContent().toByteArray();
   }
 
   /** The names of those that vote, as far as this instance knows. */
@@ -260,6 +281,29 @@
         });
   }
 
+  /** Has another of those that vote lead; its name. */
+  public CompletableFuture<String> handOn() {
+    return on(
+        () -> {
+          IOException last = new IOException("nobody else votes");
+          for (String name : voters()) {
+            if (!name.equals(self)) {
+              try {
+                RaftClientReply reply =
+                    client.admin().transferLeadership(RaftPeerId.valueOf(name), HAND_ON_MILLIS);
+                if (reply.isSuccess()) {
+                  return name;
+                }
+                last = new IOException(name + " does not take it: " + reply.getException());
+              } catch (IOException e) {
+                last = e;
+              }
+            }
+          }
+          throw last;
+        });
+  }
+
   private static boolean is(RaftPeer peer, String name) {
     return peer.getId().toString().equals(name);
   }
--- a/src/main/java/maplehall/cli/WorkCommand.java
+++ b/src/main/java/maplehall/cli/WorkCommand.java
@@ -77,6 +77,7 @@
   @Command(name = "request", description = "Asks for machines; the same request twice is one.")
   int request(
       @Option(names = "--machine", paramLabel = "ID") List<String> machines,
+      @Option(names = "--balancer", paramLabel = "INSTANCE") List<String> balancers,
       @Option(names = "--kind", defaultValue = "") String kind,
       @Option(names = "--zone", defaultValue = "") String zone,
       @Option(names = "--cell", defaultValue = "") String cell,
@@ -95,9 +96,14 @@
       @Option(names = "--wait", description = "Returns when the machines are out.") boolean wait)
       throws InterruptedException {
     List<String> ids = machines == null ? List.of() : machines;
+    List<String> instances = balancers == null ? List.of() : balancers;
     String named =
-        key.isEmpty() ? String.join("|", who, why, kind, zone, cell, String.join(",", ids)) : key;
+        key.isEmpty()
+            ? String.join(
+                "|", who, why, kind, zone, cell, String.join(",", ids), String.join(",", instances))
+            : key;
     StringBuilder path = new StringBuilder("work/ask?key=").append(encoded(named));
+    instances.forEach(each -> path.append("&balancer=").append(encoded(each)));
     ids.forEach(id -> path.append("&machine=").append(encoded(id)));
     path.append("&kind=").append(encoded(kind));
     path.append("&zone=").append(encoded(zone));
@@ -263,8 +269,11 @@
   @Command(
       name = "fence",
       description = "Says that an instance does not run: orders no longer wait for it.")
-  int fence(@Parameters(paramLabel = "INSTANCE") String instance) {
-    return told(answer(admin -> admin.post("work/fence/" + encoded(instance))));
+  int fence(
+      @Parameters(paramLabel = "INSTANCE") String instance,
+      @Option(names = "--forget", description = "It will not come back either.") boolean forget) {
+    String path = (forget ? "work/forget/" : "work/fence/") + encoded(instance);
+    return told(answer(admin -> admin.post(path)));
   }
 
   private static String encoded(String text) {
--- a/src/main/java/maplehall/work/Holdings.java
+++ b/src/main/java/maplehall/work/Holdings.java
@@ -86,6 +86,9 @@
     away = new HashMap<>();
     heldAt.clear();
     for (Settled.Away each : now) {
+      if (Machine.instance(each.machine()) != null) {
+        continue; // A balancer is on no list.
+      }
       away.put(each.machine(), each);
       if (each.phase().held()) {
         heldAt.put(each.address(), each.machine());
--- a/src/main/java/maplehall/work/WorkOrders.java
+++ b/src/main/java/maplehall/work/WorkOrders.java
@@ -42,6 +42,10 @@
   /** How soon an instance sees that its last call to a machine has ended. */
   private static final long STEP_MILLIS = 5;
 
+  /** Connections that wait for nothing are closed 1.5 s after the begin, and whenever they come. */
+  private static final long EMPTY_MILLIS = 2000;
+
+  private static final long HAND_ON_MILLIS = 2000;
   private static final long TELL_MILLIS = 2000;
   private static final long LEAVE_MILLIS = 1500;
 
@@ -62,6 +66,11 @@
 
   private boolean emptied;
 
+  /** Since when its clients have been sent away, and when leadership was handed on last. */
+  private long emptiedNanos;
+
+  private long handedNanos;
+
   /** Whether it has been inside. */
   private boolean begun;
 
@@ -136,7 +145,8 @@
         begun |= participant.inside();
         Log.info("work", table.instance() + (inside ? " is outside" : " is inside"));
       }
-      watchLease();
+      watchClients();
+      handOn();
     } catch (RuntimeException e) {
       Log.error("work", "a step failed", e); // Thrown on, it would be the last.
     }
@@ -168,9 +178,12 @@
     }
   }
 
-  /** Takes no more clients before the lease ends, and owes nobody an answer when it has ended. */
-  private void watchLease() {
-    if (!table.stops() || !begun) {
+  /**
+   * Takes no more clients before the lease ends, or when an order takes this balancer out; owes
+   * nobody an answer when the lease has ended.
+   */
+  private void watchClients() {
+    if (!begun) {
       return; // Before it is inside for the first time it takes nobody.
     }
     long now = System.nanoTime();
@@ -183,8 +196,13 @@
       return;
     }
     if (!emptied) {
-      Log.warn("work", "the lease cannot be renewed: no more clients are taken");
+      Log.warn(
+          "work",
+          leaves()
+              ? "taken out: no more clients are taken"
+              : "the lease cannot be renewed: no more clients are taken");
       emptied = true;
+      emptiedNanos = now;
       node.emptying().begin();
     }
     if (!participant.maySend(now) && node.dispatcher().live() > 0) {
@@ -196,8 +214,39 @@
     }
   }
 
+  /** One that leaves does not lead: the others would have to find out. */
+  private void handOn() {
+    long now = System.nanoTime();
+    if (emptied
+        && leaves()
+        && now - handedNanos > MILLISECONDS.toNanos(HAND_ON_MILLIS)
+        && agreement.leader().equals(table.instance())) {
+      handedNanos = now;
+      agreement
+          .handOn()
+          .whenComplete(
+              (to, failure) ->
+                  Log.info(
+                      "work", failure == null ? to + " leads now" : "not handed on: " + failure));
+    }
+  }
+
   // ---- what the participant sees, on the loop ----
 
+  @Override
+  public boolean leaves() {
+    return ledger.ask(settled -> settled.leaves(table.instance()));
+  }
+
+  /** After that time the drain has sent away whoever had nothing to wait for. */
+  @Override
+  public boolean emptied() {
+    return emptied
+        && System.nanoTime() - emptiedNanos > MILLISECONDS.toNanos(EMPTY_MILLIS)
+        && node.dispatcher().live() == 0
+        && !agreement.leader().equals(table.instance());
+  }
+
   @Override
   public long incarnation() {
     return ledger.ask(settled -> settled.incarnation(table.instance()));
@@ -258,7 +307,22 @@
   }
 
   CompletableFuture<Reply> submit(Command command) {
-    return agreement.submit(() -> Ledger.bytes(command)).thenApply(Ledger::reply);
+    CompletableFuture<Reply> reply =
+        agreement.submit(() -> Ledger.bytes(command)).thenApply(Ledger::reply);
+    return command instanceof Command.Renew ? reply : reply.whenComplete((said, failure) -> soon());
+  }
+
+  private void soon() {
+    try {
+      node.loop().execute(() -> participant.soon(System.nanoTime()));
+    } catch (RejectedExecutionException e) {
+      // The node has ended.
+    }
+  }
+
+  /** Whether it has been inside, so that it knows the lists; on the loop. */
+  boolean begun() {
+    return begun;
   }
 
   CompletableFuture<List<String>> vote(String peer, boolean votes) {
--- a/src/main/java/maplehall/work/WorkPages.java
+++ b/src/main/java/maplehall/work/WorkPages.java
@@ -161,7 +161,8 @@
         case "cancel" -> send(new Command.Cancel(Long.parseLong(words[1])), reply);
         case "vote" -> vote(words[1], true, reply);
         case "unvote" -> vote(words[1], false, reply);
-        case "fence" -> send(new Command.Fence(words[1]), reply);
+        case "fence" -> send(new Command.Fence(words[1], false), reply);
+        case "forget" -> send(new Command.Fence(words[1], true), reply);
         default -> throw new IllegalArgumentException(words[0]);
       }
     } catch (IllegalArgumentException | ArrayIndexOutOfBoundsException e) {
@@ -169,7 +170,7 @@
           AdminServer.Reply.error(
               400,
               "work/ask?..., done/ORDER[/MACHINE], extend/ORDER/MILLIS, cancel/ORDER or"
-                  + " fence/INSTANCE, vote/INSTANCE or unvote/INSTANCE expected: "
+                  + " fence/INSTANCE, forget/INSTANCE, vote/INSTANCE or unvote/INSTANCE expected: "
                   + e.getMessage()));
     }
   }
@@ -188,7 +189,14 @@
     long after = Long.parseLong(word(words, "after", "0"));
     long notBefore = Long.parseLong(word(words, "not_before_ms", "0"));
     long notAfter = Long.parseLong(word(words, "not_after_ms", "0"));
-    List<Machine> machines = orders.choose(ids, kind, zone, cell);
+    if (!orders.begun()) {
+      reply.accept(AdminServer.Reply.error(503, "this balancer has not joined; ask another"));
+      return;
+    }
+    List<Machine> machines = new ArrayList<>(orders.choose(ids, kind, zone, cell));
+    for (String balancer : words.getOrDefault("balancer", List.of())) {
+      machines.add(Machine.balancer(balancer));
+    }
     Set<String> found = new HashSet<>();
     machines.forEach(each -> found.add(each.id()));
     for (String id : ids) {
--- a/src/main/java/meadowtrack/work/Command.java
+++ b/src/main/java/meadowtrack/work/Command.java
@@ -27,8 +27,12 @@
   /** An instance has ended and will send nothing more. */
   record Leave(String instance, long incarnation) implements Command {}
 
-  /** A person has made sure that an instance does not run any more. */
-  record Fence(String instance) implements Command {}
+  /**
+   * A person has made sure that an instance does not run any more.
+   *
+   * @param forget whether it will not come back either: nobody looks for it any more
+   */
+  record Fence(String instance, boolean forget) implements Command {}
 
   /**
    * Somebody wants machines for work.
--- a/src/main/java/meadowtrack/work/Floor.java
+++ b/src/main/java/meadowtrack/work/Floor.java
@@ -9,7 +9,8 @@
  */
 public record Floor(String kind, String zone, double least) {
   boolean covers(Group group) {
-    return (kind.equals("*") || kind.equals(group.kind()))
+    return !group.kind().equals(Machine.BALANCER)
+        && (kind.equals("*") || kind.equals(group.kind()))
         && (zone.equals("*") || zone.equals(group.zone()));
   }
 
--- a/src/main/java/meadowtrack/work/Form.java
+++ b/src/main/java/meadowtrack/work/Form.java
@@ -48,6 +48,7 @@
     } else if (command instanceof Command.Fence fence) {
       tree.put("kind", "fence");
       tree.put("instance", fence.instance());
+      tree.put("forget", fence.forget());
     } else if (command instanceof Command.Ask ask) {
       tree.put("kind", "ask");
       tree.putAll(of(ask));
@@ -96,7 +97,7 @@
               whole(tree, "order"),
               text(tree, "machine"));
       case "leave" -> new Command.Leave(text(tree, "instance"), whole(tree, "incarnation"));
-      case "fence" -> new Command.Fence(text(tree, "instance"));
+      case "fence" -> new Command.Fence(text(tree, "instance"), flag(tree, "forget"));
       case "ask" -> ask(tree);
       case "done" ->
           new Command.Done(
--- a/src/main/java/meadowtrack/work/Machine.java
+++ b/src/main/java/meadowtrack/work/Machine.java
@@ -8,6 +8,25 @@
  */
 public record Machine(
     String id, String kind, String zone, long cell, double weight, String address) {
+  /** The kind of a balancer that is taken out as a machine is. */
+  public static final String BALANCER = "balancer";
+
+  private static final String BALANCERS = BALANCER + '/';
+
+  /** A balancer by its name among the instances. */
+  public static Machine balancer(String instance) {
+    return new Machine(BALANCERS + instance, BALANCER, "", 0, 1, "");
+  }
+
+  /** The instance that an id names, or null where it names a server. */
+  public static String instance(String id) {
+    return id.startsWith(BALANCERS) ? id.substring(BALANCERS.length()) : null;
+  }
+
+  String instance() {
+    return instance(id);
+  }
+
   Group group() {
     return new Group(kind, zone);
   }
--- a/src/main/java/meadowtrack/work/Participant.java
+++ b/src/main/java/meadowtrack/work/Participant.java
@@ -34,6 +34,12 @@
     /** The lease by the rules in force. */
     long leaseMillis();
 
+    /** Whether an order has this balancer itself leave, or stay away. */
+    boolean leaves();
+
+    /** Whether its clients have gone, and none can come. */
+    boolean emptied();
+
     /** A number that nobody has drawn before, above 0. */
     long draw();
   }
@@ -63,7 +69,9 @@
     JOINING,
     /** It is, and has not yet taken all that was settled before. */
     TAKING,
-    INSIDE
+    INSIDE,
+    /** It has left, as an order has it; it stays away until it is let back. */
+    LEFT
   }
 
   private final String name;
@@ -79,6 +87,12 @@
   private long sentNanos;
   private long leaseUntilNanos;
   private boolean renewing;
+  private boolean leaving;
+  private long leftNanos;
+
+  /** Since it has said so it sends nothing until it has joined anew. */
+  private boolean saidLeave;
+
   private Command lastRenewal;
 
   /** Since when a machine has been empty, and what has been said to be. */
@@ -102,12 +116,15 @@
 
   /** Whether the first byte of an attempt may be written at this moment. */
   public boolean maySend(long nowNanos) {
+    if (saidLeave) {
+      return false; // Whether that was taken or not: nobody need wait for it any more.
+    }
     return stops ? state == State.INSIDE && leaseUntilNanos - nowNanos > 0 : everInside;
   }
 
   /** Whether new clients may come: what they ask for can be answered within the lease. */
   public boolean takesClients(long nowNanos) {
-    return maySend(nowNanos) && (!stops || leaseUntilNanos - nowNanos > stoppingNanos);
+    return maySend(nowNanos) && !leaving && (!stops || leaseUntilNanos - nowNanos > stoppingNanos);
   }
 
   /** What is left of the lease, or -1 where there is none to end. */
@@ -139,6 +156,7 @@
           everInside = true;
           leaseUntilNanos = sentNanos + here.leaseMillis() * MILLI;
           renewing = false;
+          saidLeave = false;
           nextNanos = nowNanos;
           told.clear();
         } else if (nowNanos - sentNanos > PATIENCE_NANOS) {
@@ -148,6 +166,12 @@
       case INSIDE -> {
         renew(nowNanos, here, say);
         free(nowNanos, here, say);
+        leave(nowNanos, here, say);
+      }
+      case LEFT -> {
+        if (!here.leaves()) {
+          outside(nowNanos);
+        }
       }
     }
     return say;
@@ -155,6 +179,7 @@
 
   private void outside(long nowNanos) {
     state = State.OUTSIDE;
+    leaving = false;
     nextNanos = nowNanos + AGAIN_NANOS;
     lastRenewal = null;
   }
@@ -187,6 +212,31 @@
     }
   }
 
+  /**
+   * Renews at the next step: whoever follows hears that an entry was settled only with the next
+   * one, and something was settled that others should hear of soon.
+   */
+  public void soon(long nowNanos) {
+    nextNanos = state == State.INSIDE && nextNanos - nowNanos > 0 ? nowNanos : nextNanos;
+  }
+
+  private void leave(long nowNanos, Here here, List<Command> say) {
+    boolean before = leaving;
+    leaving = here.leaves();
+    if (saidLeave && !leaving) {
+      outside(nowNanos); // Let back; what it said may still be on its way, so it joins anew.
+      return;
+    }
+    if (leaving && !before) {
+      leftNanos = nowNanos - PATIENCE_NANOS;
+    }
+    if (leaving && here.emptied() && here.idle() && nowNanos - leftNanos >= PATIENCE_NANOS) {
+      leftNanos = nowNanos;
+      saidLeave = true;
+      say.add(new Command.Leave(name, incarnation));
+    }
+  }
+
   private void free(long nowNanos, Here here, List<Command> say) {
     List<Settled.Away> empty = here.empty();
     emptySince.keySet().retainAll(empty);
@@ -213,6 +263,14 @@
       if (state == State.INSIDE && renew == lastRenewal) {
         renewAnswered(reply, nowNanos, here);
       }
+    } else if (command instanceof Command.Leave leave) {
+      if (state == State.INSIDE
+          && leave.incarnation() == incarnation
+          && reply != null
+          && reply.ok()) {
+        state = State.LEFT;
+        leaving = false;
+      }
     } else if (command instanceof Command.Free free
         && state == State.INSIDE
         && free.incarnation() == incarnation
--- a/src/main/java/meadowtrack/work/Settled.java
+++ b/src/main/java/meadowtrack/work/Settled.java
@@ -39,6 +39,9 @@
   /** Said to a join that did not know of the latest one; its {@code order} is what it must know. */
   public static final String LATE = "another process of this instance has joined meanwhile";
 
+  /** One that was heard so long ago counts as there. */
+  private static final long HEARD_MILLIS = 3000;
+
   private static final Rules NO_RULES = new Rules(0, 4000, 1000, 1, 1, List.of());
   private static final Comparator<Order> TURNS =
       Comparator.<Order>comparingLong(o -> o.round - (o.ask.urgent() ? URGENT_ROUNDS : 0))
@@ -111,6 +114,10 @@
     } else if (instance.incarnation != join.before()) {
       return new Reply(false, instance.incarnation, LATE);
     }
+    Order.Place own = away.get(Machine.balancer(join.instance()).id());
+    if (own != null && own.phase == Phase.OUT) {
+      return Reply.no("taken out by order " + own.order.id + " until that is done");
+    }
     instance.incarnation = join.incarnation();
     instance.stops = join.stops();
     instance.fenced = false;
@@ -199,6 +206,9 @@
       return Reply.no("no instance " + fence.instance());
     }
     goneForGood(instance);
+    if (fence.forget()) {
+      instances.remove(instance.name);
+    }
     return Reply.ok(0);
   }
 
@@ -259,6 +269,12 @@
       if (!ids.add(machine.id())) {
         return "names " + machine.id() + " twice";
       }
+      if ((machine.instance() == null) != (ask.machines().get(0).instance() == null)) {
+        return "names servers and balancers; an order of its own for each expected";
+      }
+      if (machine.instance() != null && !instances.containsKey(machine.instance())) {
+        return "names " + machine.instance() + ", which is no instance";
+      }
       for (Floor floor : rules.floors()) {
         // Groups of like servers are judged once; a heavier one waits, if need be for good.
         if (floor.covers(machine.group()) && looked.add(machine.group())) {
@@ -370,8 +386,14 @@
   /** The instances that may still send to a machine that is being emptied. */
   private List<String> waitsFor(Order.Place place) {
     List<String> names = new ArrayList<>();
+    String balancer = place.machine.instance();
     for (Instance instance : instances.values()) {
-      if (!instance.fenced && !place.freed.contains(instance.name)) {
+      // A balancer that is taken out says itself that it is: it leaves.
+      if (balancer != null) {
+        if (!instance.fenced && instance.name.equals(balancer)) {
+          names.add(balancer);
+        }
+      } else if (!instance.fenced && !place.freed.contains(instance.name)) {
         names.add(instance.name);
       }
     }
@@ -380,6 +402,11 @@
 
   /** Seen in full service by all who have looked since it came back, and by one at least. */
   private boolean warm(Order.Place place) {
+    String balancer = place.machine.instance();
+    if (balancer != null) {
+      Instance back = instances.get(balancer);
+      return back == null || fresh(back) && back.report.index() >= place.index;
+    }
     boolean seen = false;
     for (Instance instance : instances.values()) {
       if (fresh(instance)) {
@@ -406,6 +433,7 @@
     }
     turns.sort(TURNS);
     Set<Object> kept = new HashSet<>();
+    boolean noMore = false;
     for (Order order : turns) {
       for (Order.Place place : order.places()) {
         if (place.phase != Phase.WAITING) {
@@ -414,7 +442,7 @@
         if (ownObstacle(order) != null) {
           break;
         }
-        if (kept(place.machine, kept)) {
+        if (kept(place.machine, kept) || noMore && place.machine.instance() == null) {
           continue;
         }
         if (away.containsKey(place.machine.id())) {
@@ -427,7 +455,7 @@
         } else {
           kept.add(obstacle.keeps());
           if (obstacle.keeps() == this) {
-            return;
+            noMore = true;
           }
         }
       }
@@ -438,6 +466,9 @@
     if (kept.isEmpty()) {
       return false;
     }
+    if (machine.instance() != null) {
+      return kept.contains(machine.group());
+    }
     if (kept.contains(machine.cell())) {
       return true;
     }
@@ -466,11 +497,33 @@
   /** Why a machine may not go now, and what is to be kept for it. */
   private record Obstacle(String reason, Object keeps) {}
 
+  /**
+   * A balancer goes only while all others are there and have heard of whatever is settled: one less
+   * of so many that vote leaves a majority, and clients have somewhere to go.
+   */
+  private Obstacle balancerObstacle(Machine machine) {
+    for (Order.Place place : away.values()) {
+      if (place.machine.instance() != null) {
+        return new Obstacle(place.machine.instance() + " is away", machine.group());
+      }
+    }
+    for (Instance instance : instances.values()) {
+      boolean heard = !instance.fenced && nowMillis - instance.renewedMillis <= HEARD_MILLIS;
+      if (!heard && !instance.name.equals(machine.instance())) {
+        return new Obstacle(instance.name + " is not there", machine.group());
+      }
+    }
+    return null;
+  }
+
   private Obstacle obstacle(Machine machine) {
+    if (machine.instance() != null) {
+      return balancerObstacle(machine);
+    }
     int out = 0;
     int outInCell = 0;
     for (Order.Place place : away.values()) {
-      if (place.phase.held()) {
+      if (place.phase.held() && place.machine.instance() == null) {
         out++;
         outInCell += place.machine.cell() == machine.cell() ? 1 : 0;
       }
@@ -606,6 +659,12 @@
     return known == null ? 0 : known.incarnation;
   }
 
+  /** Whether an order has an instance leave, or stay away: its process sends nothing meanwhile. */
+  public boolean leaves(String instance) {
+    Order.Place place = away.get(Machine.balancer(instance).id());
+    return place != null && place.phase.held();
+  }
+
   /** The orders that can be shown, the latest last. */
   public List<Long> orders() {
     List<Long> ids = new ArrayList<>(ended.keySet());
--- a/src/test/java/maplehall/work/WorkTest.java
+++ b/src/test/java/maplehall/work/WorkTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -233,11 +234,20 @@
         return ask(node, machine);
       } catch (IOException e) {
         // No majority there, or none yet; the same request again is the same order.
+        pause();
       }
     }
     throw new AssertionError(machine + " could not be asked for at " + node.name());
   }
 
+  private static void pause() {
+    try {
+      Thread.sleep(200);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** All at once, in the middle of an order: nobody begins without knowing what is out. */
   @Test
   void aRestartOfAllAtOnceForgetsNothing() throws Exception {
@@ -262,4 +272,99 @@
       verdict(fleet);
     }
   }
+
+  /** Balancers go in turn: whoever leads hands that on first, the next goes when it is back. */
+  @Test
+  void balancersAreTakenOutInTurn() throws Exception {
+    try (Fleet fleet = new Fleet(7)) {
+      fleet.servers(3, "front", SHAPE).start(3, 3, Terms.serving(1));
+      Node leader = fleet.leader();
+      Node other = fleet.nodes().stream().filter(node -> node != leader).findFirst().get();
+      Node third = fleet.node(6 - number(leader) - number(other));
+      OpenLoop load = fleet.load(third, 100);
+      long first = balancer(third, leader);
+      long second = balancer(third, other);
+      Await.until("the leader is out", () -> phase(third, first).equals("out"));
+      assertEquals("waiting", phase(third, second));
+      assertFalse(fleet.leader() == leader, "leadership was handed on");
+      leader.end();
+      leader.start();
+      Thread.sleep(1000);
+      assertFalse(leader.serves(), "it waits until somebody says that it is done");
+      assertEquals("waiting", phase(third, second));
+      third.post("work/done/" + first);
+      Await.until("it serves", leader::serves);
+      Await.until("it is back", () -> phase(third, first).equals("done"));
+      Await.until("the next goes", () -> phase(third, second).equals("out"));
+      third.post("work/done/" + second);
+      Await.until("that one is back without a new process", other::serves);
+      Await.until("done", () -> phase(third, second).equals("done"));
+      load.stop();
+      assertEquals(0, fleet.ledger().lost());
+    }
+  }
+
+  private static int number(Node node) {
+    return Integer.parseInt(node.name().substring("edge-".length()));
+  }
+
+  private static long balancer(Node at, Node out) throws IOException {
+    String ask = "work/ask?key=%s&who=me&why=release&for_ms=600000&balancer=%s";
+    return ((Number) at.post(ask.formatted(out.name(), out.name())).get("order")).longValue();
+  }
+
+  /** Who is left of a lost majority goes on serving; orders wait, and go on when it is back. */
+  @Test
+  void aMajorityLostAndBack() throws Exception {
+    try (Fleet fleet = new Fleet(8)) {
+      fleet.servers(3, "front", SHAPE).start(3, 3, Terms.serving(1));
+      Node left = fleet.node(1);
+      long out = ask(left, "front-1");
+      awaitOut(fleet, left, out, "front-1");
+      for (Node node : List.of(fleet.node(2), fleet.node(3))) {
+        node.kill();
+      }
+      OpenLoop load = fleet.load(left, 100);
+      assertThrows(IOException.class, () -> ask(left, "front-2"));
+      Await.until("it serves", () -> load.tally().total() > 300);
+      for (Node node : List.of(fleet.node(2), fleet.node(3))) {
+        node.start();
+      }
+      long next = askedAtLast(fleet.node(3), "front-2");
+      done(fleet, left, out, "front-1");
+      awaitOut(fleet, fleet.node(2), next, "front-2");
+      done(fleet, left, next, "front-2");
+      load.stop();
+      assertEquals(0, fleet.ledger().lost());
+      verdict(fleet);
+    }
+  }
+
+  /** The list names the same machine under another id: it is the same machine. */
+  @Test
+  void aMachineThatIsOutGetsNothingUnderAnotherId() throws Exception {
+    try (Fleet fleet = new Fleet(9)) {
+      fleet.servers(3, "front", SHAPE).start(3, 3, Terms.serving(1));
+      load(fleet);
+      long out = ask(fleet.node(1), "front-1");
+      awaitOut(fleet, fleet.node(1), out, "front-1");
+      for (Node node : fleet.nodes()) {
+        String list = Files.readString(node.members()).replace("front-1 ", "renamed ");
+        assertTrue(list.contains("renamed "), list);
+        Files.writeString(node.members(), list);
+        Await.until("the list is taken", () -> String.valueOf(members(node)).equals("2"));
+      }
+      long before = fleet.servers().get(1).received();
+      Await.until("calls", () -> fleet.servers().get(1).received() > before + 100);
+      verdict(fleet);
+    }
+  }
+
+  private static Object members(Node node) {
+    try {
+      return node.get("members").get("version");
+    } catch (IOException e) {
+      return null;
+    }
+  }
 }
