--- a/src/main/java/maplehall/work/WorkOrders.java
+++ b/src/main/java/maplehall/work/WorkOrders.java
@@ -344,7 +344,8 @@
 
   /** Milliseconds of its lease that are left, or -1 where it has none to end; on the loop. */
   long leaseLeftMillis() {
-    return Math.max(-1, participant.leaseLeftNanos(System.nanoTime()) / 1_000_000);
+    long left = participant.leaseLeftNanos(System.nanoTime());
+    return left < 0 ? -1 : left / 1_000_000;
   }
 
   /** The servers that a choice names; on the loop, where the lists are. */
--- a/src/test/java/maplehall/work/WorkTest.java
+++ b/src/test/java/maplehall/work/WorkTest.java
@@ -327,6 +327,7 @@
       OpenLoop load = fleet.load(left, 100);
       assertThrows(IOException.class, () -> ask(left, "front-2"));
       Await.until("it serves", () -> load.tally().total() > 300);
+      assertEquals(-1, left.get("work").get("lease_left_ms"), "it has no lease to end");
       for (Node node : List.of(fleet.node(2), fleet.node(3))) {
         node.start();
       }
