Begin no attempt for a client that has gone, and decide by the settings it was taken under

A close was seen only when the loop came to read it: an error read in the same turn sent its retry first, room in an upstream's window sent a waiting request first, and behind a flood or a paused long body nothing was read at all.

Change: Dispatcher.mayBegin is the one place, asked right before the first byte of each attempt. It has the caller read what has come, and asks the module whether the server still serves and a keyed repeat is still in time. The last piece of a long body waits for the same look. Each request keeps the RuleSet (settings and what is learned under them) it was taken under; Balancer.reload brings another for later ones.

--- a/src/main/java/maplehall/border/Attempt.java
+++ b/src/main/java/maplehall/border/Attempt.java
@@ -28,8 +28,9 @@
   public abstract int number();
 
   /**
-   * Whether its first byte may be written now. Time may have passed since it was decided, the
-   * process may even have been stopped; what may not ends as never sent.
+   * Whether its first byte may be written now. Time may have passed since it was decided: the
+   * caller may have gone, the upstream may drain, the time for a repeat may be over, the process
+   * may even have been stopped. What may not begin ends as never sent.
    */
   public abstract boolean mayBegin();
 
--- a/src/main/java/maplehall/border/Caller.java
+++ b/src/main/java/maplehall/border/Caller.java
@@ -10,6 +10,15 @@
     return true;
   }
 
+  /**
+   * Whether somebody still waits for the answer, as far as can be found out now: what has come from
+   * the caller and has not been read yet is read first. Asked right before an attempt begins; a
+   * caller that turns out to have gone says so through its {@link Ticket} before this returns.
+   */
+  default boolean stillWaits() {
+    return true;
+  }
+
   /**
    * A whole answer, in the caller's own protocol; it belongs to the caller. Null where it has been
    * passed on as it came.
--- a/src/main/java/maplehall/dispatch/Dispatcher.java
+++ b/src/main/java/maplehall/dispatch/Dispatcher.java
@@ -263,9 +263,21 @@
     }
   }
 
+  /**
+   * The one place that says whether an attempt may begin, asked right before its first byte. A
+   * connection that took its time may come up after the client has gone, after its upstream has
+   * been told to drain or after the time in which a keyed request may be repeated.
+   */
   @Override
-  public boolean mayBegin() {
-    return gate == null || gate.open();
+  public boolean mayBegin(LiveRequest.Attempt attempt) {
+    LiveRequest request = attempt.request;
+    return (gate == null || gate.open())
+        && attempt.open
+        && !request.over
+        && clock.nowNanos() < request.deadlineNanos
+        && request.client.stillWaits()
+        && attempt.open
+        && (attempt.away || balancer.mayBegin(clock.nowNanos(), request.id, attempt.number));
   }
 
   private void timeOut(LiveRequest.Attempt attempt) {
@@ -589,7 +601,7 @@
         || now >= request.deadlineNanos
         || attempt.number >= settings.limits().mostTries()
         || !request.payload.repeatable()
-        || !mayBegin()
+        || !mayBegin(attempt)
         || !request.payload.start(attempt)) {
       upstream.attempts++; // Taken back with the outcome, like that of any attempt.
       ended(attempt, Outcome.MOOT, null);
--- a/src/main/java/maplehall/dispatch/LiveRequest.java
+++ b/src/main/java/maplehall/dispatch/LiveRequest.java
@@ -19,7 +19,7 @@
 
     void ended(Attempt attempt, Outcome outcome, Answer answer);
 
-    boolean mayBegin();
+    boolean mayBegin(Attempt attempt);
 
     void gone(LiveRequest request);
 
@@ -63,7 +63,7 @@
 
     @Override
     public boolean mayBegin() {
-      return listener.mayBegin();
+      return listener.mayBegin(this);
     }
 
     @Override
--- a/src/main/java/maplehall/http1/ClientHandler.java
+++ b/src/main/java/maplehall/http1/ClientHandler.java
@@ -106,6 +106,9 @@
    */
   static final int MOST_PIPELINED = 8;
 
+  /** What each part of a flood counts for beside its body. */
+  private static final int FLOOD_PART_BYTES = 64;
+
   private static final int MOST_ID_LENGTH = 128;
 
   private enum Phase {
@@ -143,7 +146,18 @@
   private Object waiting;
   private Ticket request;
   private boolean replaying;
+
+  /**
+   * Whether bytes of this very connection are being decoded, in the middle of which none are read.
+   */
+  private boolean decoding;
+
   private boolean flooded;
+  private long floodBytes;
+
+  /** The end of a long body, kept until it is known that its client has stayed. */
+  private ByteBuf uploadEnd;
+
   private boolean asked;
   private int readsBefore;
   private long lingerBytes;
@@ -179,9 +193,10 @@
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
+    decoding = true;
     HttpObject part = (HttpObject) message;
     if (flooded) {
-      ReferenceCountUtil.release(part);
+      dropFlood(part);
     } else if (phase == Phase.COMPLETE || phase == Phase.TAKEN || !pipelined.isEmpty()) {
       // The next request before this one is answered. Reading goes on, within limits, because only
       // reading shows that a client has gone.
@@ -190,13 +205,40 @@
         flooded = true;
         keepAlive = false;
         dropPipelined();
-        channel.config().setAutoRead(false);
       }
     } else {
       read(part);
     }
   }
 
+  /** Goes on reading for a while, as the client's end may follow; a flood without end is left. */
+  private void dropFlood(HttpObject part) {
+    if (part instanceof HttpContent content) {
+      floodBytes += content.content().readableBytes();
+    }
+    floodBytes += FLOOD_PART_BYTES;
+    ReferenceCountUtil.release(part);
+    if (floodBytes > MOST_LINGER_BYTES) {
+      channel.config().setAutoRead(false);
+    }
+  }
+
+  /**
+   * Reads what has come, unless that is going on: only reading shows that a client has closed its
+   * connection, and while the loop was held up or reading paused that may have been long ago.
+   */
+  @Override
+  public boolean stillWaits() {
+    if (!decoding && channel.isActive()) {
+      ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+    }
+    if (!channel.isActive()) {
+      end(); // The channel tells of its end on a later turn of the loop only.
+      return false;
+    }
+    return true;
+  }
+
   private void read(HttpObject part) {
     try {
       if (phase == Phase.LINGER) {
@@ -389,15 +431,30 @@
       channel.close(); // In chunks without end; nothing has run, as its last byte never came.
       return;
     }
-    Upload to = upload;
-    if (last) {
-      phase = Phase.TAKEN;
-      sinceNanos = pieceNanos;
-      if (request != null) {
-        request.whole(ttlNanos);
-      }
+    if (!last) {
+      upload.add(content.content().retain(), false);
+      return;
+    }
+    phase = Phase.TAKEN;
+    sinceNanos = pieceNanos;
+    if (request != null) {
+      request.whole(ttlNanos);
+    }
+    uploadEnd = content.content().retain();
+  }
+
+  /**
+   * The last piece makes the request run. It goes on once what came behind it has been read too: a
+   * client that had sent everything and left may lie behind a body whose reading was paused.
+   */
+  private void passUploadEnd() {
+    ByteBuf end = uploadEnd;
+    uploadEnd = null;
+    if (stillWaits() && upload != null) {
+      upload.add(end, true);
+    } else {
+      end.release();
     }
-    to.add(content.content().retain(), last);
   }
 
   /** The upstream of a long body takes no more for now, or takes more again. */
@@ -673,8 +730,12 @@
       return;
     }
     replaying = true;
-    while (!pipelined.isEmpty() && (phase == Phase.IDLE || phase == Phase.BODY)) {
+    while (!pipelined.isEmpty()
+        && (phase == Phase.IDLE || phase == Phase.BODY || phase == Phase.UPLOAD)) {
       read(pipelined.poll());
+      if (uploadEnd != null) {
+        passUploadEnd();
+      }
       if (phase == Phase.COMPLETE) {
         take();
       }
@@ -711,6 +772,10 @@
 
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
+    decoding = false;
+    if (uploadEnd != null) {
+      passUploadEnd();
+    }
     if (phase == Phase.COMPLETE && !replaying) {
       take();
     }
@@ -723,9 +788,18 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
+    end();
+  }
+
+  /** The one place that says that the client has gone; may be told more than once. */
+  private void end() {
     phase = Phase.LINGER;
     dropBody();
     dropPipelined();
+    if (uploadEnd != null) {
+      uploadEnd.release();
+      uploadEnd = null;
+    }
     if (passing != null) {
       AnswerSource source = passing;
       passing = null;
--- a/src/main/java/meadowtrack/core/Balancer.java
+++ b/src/main/java/meadowtrack/core/Balancer.java
@@ -7,6 +7,7 @@
 import java.util.SplittableRandom;
 import meadowtrack.api.Actions;
 import meadowtrack.api.Form;
+import meadowtrack.api.Health;
 import meadowtrack.api.ListForm;
 import meadowtrack.api.Outcome;
 import meadowtrack.api.RequestClass;
@@ -19,11 +20,7 @@
  * and seed give the same actions.
  */
 public final class Balancer {
-  /**
-   * A call is overdue, and may get a second copy, at this multiple of what its class takes at
-   * present. Sooner copies cost more work than they save calls; later ones come too late where
-   * answers are spoilt or lost.
-   */
+  /** A call is overdue, and may get a second copy, at this multiple of its class's delay. */
   static final double OVERDUE = 4;
 
   /** Weight of one result in the class's present delay. */
@@ -43,34 +40,23 @@
   /** A server is judged faulty when its share of errors passes its peers' by this much. */
   static final double ERROR_MARGIN = 0.3;
 
-  /**
-   * Own calls by which a near server may lead a far one. A share of far calls that followed the two
-   * zones' delays lagged behind by seconds: a site with few servers filled them while the others
-   * stood half idle. Would do harm where a crossing takes as long as a call.
-   */
+  /** Own calls by which a near server may lead a far one. */
   static final int FAR_CALLS = 2;
 
   static final long RATE_TAU_NANOS = 2_000_000_000L;
 
-  /**
-   * A clock may round a timer down. Taken for an old one, that timer was the last, and the calls it
-   * was to answer stayed without an answer.
-   */
+  /** A clock may round a timer down; taken for an old one, its calls would stay unanswered. */
   static final long TIMER_SLACK_NANOS = 1_000_000L;
 
   private static final long SWEEP = 1;
   private static final long ASK = 2;
 
-  private final Settings settings;
   private final Actions actions;
   private final SplittableRandom random;
   private final Membership members;
-  private final Map<String, Integer> classIndex = new HashMap<>();
-  private final double[] classDelay;
-  private final long[] classCount;
+  private RuleSet rules;
   private final Map<Long, Request> requests = new HashMap<>();
   private final EntryWindow entry = new EntryWindow();
-  private final Worth worth;
   private final ArrayDeque<Request> waiting = new ArrayDeque<>();
   private final ArrayDeque<Request.Attempt> watched = new ArrayDeque<>();
   private long sweepDueNanos = Long.MAX_VALUE;
@@ -82,23 +68,22 @@
 
   /** Creates an instance that knows nothing yet; {@link #start} must follow. */
   public Balancer(Settings settings, long seed, Actions actions) {
-    this.settings = settings;
     this.actions = actions;
     this.random = new SplittableRandom(seed);
     this.members = new Membership(settings, actions, random);
-    this.worth = new Worth(settings);
-    this.classDelay = new double[settings.classes().size()];
-    this.classCount = new long[classDelay.length];
-    for (int i = 0; i < classDelay.length; i++) {
-      classIndex.put(settings.classes().get(i).name(), i);
-      classDelay[i] = settings.classes().get(i).aimNanos() / 4.0;
-    }
+    this.rules = new RuleSet(settings, null);
+  }
+
+  /** Other settings for the requests that come from now on; those that are here keep their own. */
+  public void reload(Settings settings) {
+    rules = new RuleSet(settings, rules);
+    members.settings = settings;
   }
 
   /** The instance starts. */
   public void start(long nowNanos) {
     sendCountNanos = nowNanos;
-    if (settings.mustAsk()) {
+    if (rules.settings.mustAsk()) {
       actions.setTimer(members.firstAskDelayNanos(), ASK);
     }
   }
@@ -106,7 +91,7 @@
   /** Discovery has news. */
   public void onServers(long nowNanos, ListForm form, List<ServerEntry> entries) {
     long askDelay = members.onNews(nowNanos, form, entries);
-    if (askDelay >= 0 && settings.mustAsk()) {
+    if (askDelay >= 0 && rules.settings.mustAsk()) {
       actions.setTimer(askDelay, ASK);
     }
     serveWaiting(nowNanos);
@@ -115,25 +100,22 @@
   /** A client's request has arrived. */
   public void onRequest(
       long nowNanos, long id, String type, String tenant, long ttl, boolean repeat, Form form) {
-    int index = classIndex.getOrDefault(type, 0);
-    RequestClass of = settings.classes().get(index);
-    Request request = new Request(id, index, of, worth.tenant(tenant), form, nowNanos, ttl);
+    Request request = new Request(id, rules, type, form, nowNanos, ttl);
     requests.put(id, request);
     retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
     entry.onStart();
-    if (settings.tier() == 0 && !admitted(request, nowNanos)) {
+    if (rules.settings.tier() == 0 && !admitted(request, rules.tenant(tenant), nowNanos)) {
       giveUp(request, nowNanos);
     } else if (!trySend(request, nowNanos)) {
       noRoom(request, nowNanos);
     }
   }
 
-  private boolean admitted(Request request, long nowNanos) {
-    double relative = worth.relative(request.classIndex, request.tenantIndex, classDelay, nowNanos);
-    if (!entry.hasRoom(relative)) {
+  private boolean admitted(Request request, int tenant, long nowNanos) {
+    if (!entry.hasRoom(rules.relative(request.classIndex, tenant, nowNanos))) {
       return false;
     }
-    worth.take(request.tenantIndex);
+    rules.take(tenant);
     return true;
   }
 
@@ -154,6 +136,15 @@
     return known && request.attempts[number].open ? request.attempts[number] : null;
   }
 
+  /** Whether an attempt that was decided a while ago may still begin, on a new connection say. */
+  public boolean mayBegin(long nowNanos, long id, int number) {
+    Request.Attempt attempt = open(id, number);
+    return attempt != null
+        && !attempt.request.over
+        && attempt.server.health == Health.READY
+        && attempt.request.maySend(number, attempt.server, nowNanos);
+  }
+
   /** An attempt has ended. */
   public void onOutcome(
       long nowNanos, long id, int number, Outcome outcome, long tookNanos, boolean terminal) {
@@ -191,7 +182,7 @@
   /** A timer has come due. */
   public void onTimer(long nowNanos, long token) {
     if (token == ASK) {
-      actions.setTimer(members.ask(nowNanos), ASK);
+      actions.setTimer(members.ask(), ASK);
     } else if (token == SWEEP) {
       sweep(nowNanos);
     }
@@ -201,7 +192,9 @@
     request.over = true;
     entry.onEnd(nowNanos, request, request.tries > 0);
     request.waiting = false;
-    for (int i = 0; settings.limits().mayCancel() && i < request.tries && request.open > 0; i++) {
+    for (int i = 0;
+        request.rules.limits.mayCancel() && i < request.tries && request.open > 0;
+        i++) {
       if (request.attempts[i].open) {
         actions.cancel(request.id, i);
       }
@@ -217,7 +210,7 @@
   // ---- sending ----
 
   private boolean trySend(Request request, long nowNanos) {
-    if (request.tries >= settings.limits().mostTries() || nowNanos >= request.deadlineNanos) {
+    if (request.tries >= request.rules.limits.mostTries() || nowNanos >= request.deadlineNanos) {
       return false;
     }
     Server server = choose(request, nowNanos);
@@ -251,7 +244,7 @@
   }
 
   private void send(Request request, Server server, long nowNanos) {
-    long patience = (long) (OVERDUE * classDelay[request.classIndex]);
+    long patience = (long) (OVERDUE * request.classDelay());
     Request.Attempt attempt =
         new Request.Attempt(request, server, request.tries, nowNanos, nowNanos + patience);
     request.add(attempt);
@@ -261,10 +254,10 @@
     decayRate(nowNanos);
     sendCount += 1;
     actions.send(request.id, server.id, 0);
-    if (settings.limits().mayDuplicate()
+    if (request.rules.limits.mayDuplicate()
         && request.type.effect() != RequestClass.Effect.UNSAFE
         && request.form.copies()
-        && request.tries < settings.limits().mostTries()) {
+        && request.tries < request.rules.limits.mostTries()) {
       watched.add(attempt);
       setSweep(nowNanos, attempt.overdueNanos);
     }
@@ -284,13 +277,12 @@
 
   // ---- no room, failures, waiting ----
 
-  /**
-   * Refused at once at the top; deeper, where the caller would see an error, after a short wait.
-   */
+  /** Refused at once at the top; deeper, where callers would see an error, after a short wait. */
   private void noRoom(Request request, long nowNanos) {
     // A call that comes with no time left would be answered too late by any timer.
     long left = request.deadlineNanos - nowNanos;
-    if (settings.tier() == 0 || left <= settings.obligations().graceToAnswerNanos()) {
+    if (request.rules.settings.tier() == 0
+        || left <= request.rules.settings.obligations().graceToAnswerNanos()) {
       giveUp(request, nowNanos);
       return;
     }
@@ -302,7 +294,7 @@
 
   private void giveUp(Request request, long nowNanos) {
     if (request.mayRefuse()) {
-      actions.refuse(request.id, Math.min(settings.limits().maxRetryAfterNanos(), 500_000_000L));
+      actions.refuse(request.id, Math.min(request.rules.limits.maxRetryAfterNanos(), 500_000_000L));
     } else {
       actions.fail(request.id);
     }
@@ -317,13 +309,13 @@
     }
     boolean ran = request.binding() != null;
     long left = request.deadlineNanos - nowNanos;
-    if (left < classDelay[request.classIndex] || (ran && retryTokens < 1)) {
+    if (left < request.classDelay() || (ran && retryTokens < 1)) {
       giveUp(request, nowNanos);
       return;
     }
     if (trySend(request, nowNanos)) {
       retryTokens -= ran ? 1 : 0;
-    } else if (ran || request.tries >= settings.limits().mostTries()) {
+    } else if (ran || request.tries >= request.rules.limits.mostTries()) {
       giveUp(request, nowNanos);
     } else {
       noRoom(request, nowNanos);
@@ -390,7 +382,7 @@
   private void copy(Request request, long nowNanos) {
     if (retryTokens >= 1
         && request.open == 1
-        && request.deadlineNanos - nowNanos > classDelay[request.classIndex]
+        && request.deadlineNanos - nowNanos > request.classDelay()
         && trySend(request, nowNanos)) {
       retryTokens -= 1;
     }
@@ -442,14 +434,15 @@
     server.heardNanos = nowNanos;
     server.failures = 0;
     noteError(server, 0);
+    RuleSet of = attempt.request.rules;
     int index = attempt.request.classIndex;
-    double bare = tookNanos / classDelay[index];
+    double bare = tookNanos / of.classDelay[index];
     double ratio = bare / level;
     // What slows every server alike must not close them: a server is judged against its peers.
     level += LEVEL_WEIGHT * (Math.min(bare, DelayWindow.SAMPLE_BOUND) - level);
-    double weight = Math.max(CLASS_WEIGHT, 1.0 / ++classCount[index]);
-    double most = classCount[index] < 10 ? tookNanos : 5 * classDelay[index];
-    classDelay[index] += weight * (Math.min(tookNanos, most) - classDelay[index]);
+    double weight = Math.max(CLASS_WEIGHT, 1.0 / ++of.classCount[index]);
+    double most = of.classCount[index] < 10 ? tookNanos : 5 * of.classDelay[index];
+    of.classDelay[index] += weight * (Math.min(tookNanos, most) - of.classDelay[index]);
     if (members.coldNow(server, nowNanos)) {
       return; // A cold server's delays are no measure of its normal ones.
     }
@@ -476,10 +469,7 @@
     errorShare += CLASS_WEIGHT * (value - errorShare);
   }
 
-  /**
-   * Takes a server out for a while, once a flight. The calls of a flight fail together, and counted
-   * one by one they drew out the rest to many seconds and the threshold down to one.
-   */
+  /** Takes a server out for a while, once a flight: the calls of a flight fail together. */
   private void retire(long nowNanos, Request.Attempt attempt) {
     Server server = attempt.server;
     if (server.window.cutSince(attempt.sentNanos)) {
--- a/src/main/java/meadowtrack/core/DelayWindow.java
+++ b/src/main/java/meadowtrack/core/DelayWindow.java
@@ -16,13 +16,7 @@
   /** Alpha as a part of the estimate. */
   static final double ALPHA_SCALE = 0.5;
 
-  /**
-   * A new window holds what a server of some size takes, and the first cut finds the rest. Guards
-   * against a fleet that is released under load: its new servers, and balancers that come back with
-   * all their windows new, turned half of the clients away beside idle servers, for the seconds
-   * that slow start takes with calls of a second. Does harm where servers hold only a few calls and
-   * running too many costs more than the few that are turned away.
-   */
+  /** A new window holds what a server of some size takes; the first cut finds the rest. */
   static final double START = 32;
 
   static final double CAP = 256;
@@ -43,8 +37,11 @@
   private long recentCount;
   private double recentSum;
   private double window = START;
-  private double threshold = CAP;
-  private double normal = 1;
+  double threshold = CAP;
+
+  /** The paper's CCT estimate. */
+  double normal = 1;
+
   private double intervalSum;
   private int intervalCount;
   private long cutAtNanos = Long.MIN_VALUE;
@@ -58,23 +55,11 @@
     return window;
   }
 
-  double threshold() {
-    return threshold;
-  }
-
-  /** The paper's CCT estimate. */
-  double normal() {
-    return normal;
-  }
-
   double bound() {
     return reference() * (1 + ALPHA_SCALE);
   }
 
-  /**
-   * The normal delay, but never under what the fleet takes (1): a server that had done better than
-   * its peers was cut for coming back to their level, and its load fell on the others.
-   */
+  /** The normal delay, but never under what the fleet takes (1), or the best would be cut first. */
   private double reference() {
     return Math.max(1, normal);
   }
@@ -93,9 +78,7 @@
    */
   public boolean onCompletion(long nowNanos, long sentNanos, double delay, int inFlight) {
     if (cutSince(sentNanos)) {
-      // One cut a flight, but what comes back in good time still counts for slow start. A server
-      // that had turned one call away got nothing until its whole flight was home, with room for
-      // half of it. Would do harm to one that is about to fail and still returns what it has.
+      // One cut a flight, but what comes back in good time still counts for slow start.
       if (window < threshold && delay < bound()) {
         window++;
       }
@@ -109,8 +92,7 @@
     }
     learnNormal(sample);
     if (2 * inFlight >= window) { // An unused window proves nothing and must not grow.
-      // After several cuts the threshold is near one, and with calls of a second a window would
-      // need minutes to come back; a server that does better than its peers need not wait so long.
+      // After several cuts the threshold is near one; the quickest servers need not wait for it.
       boolean slowStart = window < threshold || recentMean() < FAST;
       window = Math.min(CAP, window + (slowStart ? 1 : 1 / window));
     }
--- a/src/main/java/meadowtrack/core/Membership.java
+++ b/src/main/java/meadowtrack/core/Membership.java
@@ -2,10 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
 import meadowtrack.api.Actions;
 import meadowtrack.api.Health;
 import meadowtrack.api.ListForm;
@@ -24,7 +25,7 @@
   /** A cold server gets at most this multiple of its fair part of the traffic. */
   static final double COLD_HEADROOM = 0.9;
 
-  private final Settings settings;
+  Settings settings;
   private final Actions actions;
   private final SplittableRandom random;
   final Map<Long, Server> known = new HashMap<>();
@@ -36,7 +37,7 @@
   private double heaviest = 1;
   private int failedAsks;
   private boolean subscribed;
-  private long askedNanos;
+  private boolean asked;
 
   Membership(Settings settings, Actions actions, SplittableRandom random) {
     this.settings = settings;
@@ -54,10 +55,10 @@
   }
 
   /** Asks if the subscription is missing; the delay to the next look. */
-  long ask(long nowNanos) {
+  long ask() {
     long limit = settings.obligations().mustAskInNanos();
     if (!subscribed) {
-      askedNanos = nowNanos;
+      asked = true;
       actions.watch(true);
     }
     return (long) (limit * ASK_AGAIN * (0.7 + 0.3 * random.nextDouble()));
@@ -67,11 +68,10 @@
   long onNews(long nowNanos, ListForm form, List<ServerEntry> entries) {
     if (form == ListForm.BROKEN) {
       subscribed = false;
-      failedAsks++;
-      long base = 500_000_000L << Math.min(failedAsks, 3);
+      long base = 500_000_000L << Math.min(++failedAsks, 3);
       return (long) (base * (0.5 + random.nextDouble()));
     }
-    if (form != ListForm.STALE && askedNanos != 0) {
+    if (form != ListForm.STALE && asked) {
       subscribed = true;
       failedAsks = 0;
     }
@@ -116,10 +116,9 @@
   }
 
   private void dropMissing(List<ServerEntry> entries) {
-    Map<Long, Boolean> listed = new LinkedHashMap<>();
-    entries.forEach(entry -> listed.put(entry.id(), true));
+    Set<Long> listed = entries.stream().map(ServerEntry::id).collect(Collectors.toSet());
     for (Server server : known.values()) {
-      if (!listed.containsKey(server.id)) {
+      if (!listed.contains(server.id)) {
         withdraw(server);
         server.health = Health.GONE;
       }
@@ -127,13 +126,8 @@
   }
 
   private void apply(long nowNanos, ServerEntry entry) {
-    Server server = known.get(entry.id());
-    if (server == null) {
-      server = new Server(entry.id());
-      known.put(server.id, server);
-    }
-    boolean restarted =
-        entry.startedNanos() != server.startedNanos && entry.startedNanos() > server.startedNanos;
+    Server server = known.computeIfAbsent(entry.id(), Server::new);
+    boolean restarted = entry.startedNanos() > server.startedNanos;
     withdraw(server);
     server.describe(entry, settings.zone());
     if (restarted) {
--- a/src/main/java/meadowtrack/core/Request.java
+++ b/src/main/java/meadowtrack/core/Request.java
@@ -26,9 +26,12 @@
   }
 
   final long id;
+
+  /** The settings that it was taken under, which decide over it to its end. */
+  final RuleSet rules;
+
   final int classIndex;
   final RequestClass type;
-  final int tenantIndex;
   final Form form;
   final long arrivedNanos;
   final long deadlineNanos;
@@ -39,16 +42,21 @@
   boolean waiting;
   long waitUntilNanos;
 
-  Request(long id, int index, RequestClass type, int tenant, Form form, long nowNanos, long ttl) {
+  Request(long id, RuleSet rules, String type, Form form, long nowNanos, long ttl) {
     this.id = id;
-    this.classIndex = index;
-    this.type = type;
-    this.tenantIndex = tenant;
+    this.rules = rules;
+    this.classIndex = rules.classOf(type);
+    this.type = rules.type(classIndex);
     this.form = form;
     this.arrivedNanos = nowNanos;
     this.deadlineNanos = nowNanos + ttl;
   }
 
+  /** What its class takes at present. */
+  double classDelay() {
+    return rules.classDelay[classIndex];
+  }
+
   void add(Attempt attempt) {
     if (tries == attempts.length) {
       attempts = java.util.Arrays.copyOf(attempts, 2 * tries);
@@ -59,7 +67,11 @@
 
   /** The earliest attempt that is out or may have run, or null; it binds all that follow. */
   Attempt binding() {
-    for (int i = 0; i < tries; i++) {
+    return binding(tries);
+  }
+
+  private Attempt binding(int before) {
+    for (int i = 0; i < before; i++) {
       if (attempts[i].open || attempts[i].mayHaveRun) {
         return attempts[i];
       }
@@ -69,7 +81,12 @@
 
   /** Whether the class's rule lets one more attempt go to this server now. */
   boolean maySendTo(Server server, long nowNanos) {
-    Attempt binding = type.effect() == RequestClass.Effect.SAFE ? null : binding();
+    return maySend(tries, server, nowNanos);
+  }
+
+  /** The same for the attempt of this number. */
+  boolean maySend(int number, Server server, long nowNanos) {
+    Attempt binding = type.effect() == RequestClass.Effect.SAFE ? null : binding(number);
     if ((server.speaks & form.protocol()) == 0 || binding == null) {
       return (server.speaks & form.protocol()) != 0;
     }
--- a/src/test/java/maplehall/platform/Fixture.java
+++ b/src/test/java/maplehall/platform/Fixture.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import maplehall.node.Node;
+import testing.Await;
 
 /** A node in this process, on a free port, with upstreams that it knows from the start. */
 final class Fixture implements AutoCloseable {
@@ -18,6 +19,7 @@
   private final List<Object> members = new ArrayList<>();
   private String discovery = "127.0.0.1:1";
   private boolean ask;
+  private int tier;
   private long sockets = 1024;
   private long longestNanos = 20_000 * MS;
   private long mustAskNanos = 1_000_000_000L;
@@ -88,6 +90,12 @@
     return this;
   }
 
+  /** Behind another tier: what has no room waits for a while. */
+  Fixture tier(int number) {
+    tier = number;
+    return this;
+  }
+
   Fixture asking(Peer peer) {
     discovery = peer.address();
     ask = true;
@@ -148,6 +156,7 @@
     settings.put("limits", limits);
     settings.put("membership_mode", ask ? "subscribe" : "automatic");
     settings.put("zone", "a");
+    settings.put("tier", tier);
     settings.put(
         "obligations",
         Map.of(
@@ -189,6 +198,20 @@
     return node.address();
   }
 
+  /** Stops the loop until what is returned is closed: what comes meanwhile comes in one turn. */
+  LoopGate holdLoop() throws InterruptedException {
+    return new LoopGate(node.loop());
+  }
+
+  /** Returns once so many requests wait for their answer. */
+  void awaitLive(int requests) throws InterruptedException {
+    Await.until(
+        "live requests: " + requests,
+        () ->
+            node.loop().submit(() -> node.dispatcher().live()).syncUninterruptibly().getNow()
+                == requests);
+  }
+
   /** One call to the second address: the status. */
   int call(String method, String path) throws Exception {
     try (Client client = new Client(balancer.operations().address())) {
--- a/src/test/java/meadowtrack/core/EntryWindowTest.java
+++ b/src/test/java/meadowtrack/core/EntryWindowTest.java
@@ -16,7 +16,14 @@
 
   private void start(long now) {
     window.onStart();
-    out.add(new Request(1, 0, Harness.safe("read"), 0, Form.HTTP1, now, 4 * SECOND));
+    out.add(
+        new Request(
+            1,
+            new RuleSet(Harness.settings(0, Harness.safe("read")), null),
+            "read",
+            Form.HTTP1,
+            now,
+            4 * SECOND));
   }
 
   private void end(long now) {
--- /dev/null
+++ b/src/test/java/meadowtrack/core/RareMomentsTest.java
@@ -0,0 +1,131 @@
+package meadowtrack.core;
+
+import static meadowtrack.core.Harness.MS;
+import static meadowtrack.core.Harness.SECOND;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import meadowtrack.api.Health;
+import meadowtrack.api.ListForm;
+import meadowtrack.api.Outcome;
+import meadowtrack.api.RequestClass;
+import meadowtrack.api.Settings;
+import meadowtrack.core.Harness.Sent;
+import org.junit.jupiter.api.Test;
+
+/** What was decided a while ago may not begin any more; what was taken keeps its settings. */
+class RareMomentsTest {
+  private static RequestClass keyed() {
+    return Harness.type("keyed", RequestClass.Effect.KEYED, RequestClass.Group.ALL);
+  }
+
+  private static boolean mayBegin(Harness harness, Sent attempt) {
+    return harness.balancer.mayBegin(harness.now, attempt.request(), attempt.attempt());
+  }
+
+  @Test
+  void aKeyedRepeatMayNotBeginWhenItsTimeIsOver() {
+    Harness harness = new Harness(Harness.settings(0, keyed())).readyServers(2);
+    harness.request(1, "keyed");
+    harness.advance(keyed().windowNanos() - MS);
+    harness.outcome(harness.sent.get(0), Outcome.RESET, false);
+    Sent repeat = harness.last();
+    assertEquals(1, repeat.attempt());
+    assertTrue(mayBegin(harness, repeat));
+    harness.now += MS; // Its connection comes up late.
+    assertFalse(mayBegin(harness, repeat));
+  }
+
+  @Test
+  void theFirstAttemptOfAKeyedRequestIsBoundByNoTime() {
+    Harness harness = new Harness(Harness.settings(0, keyed())).readyServers(2);
+    harness.request(1, "keyed");
+    harness.now += keyed().windowNanos();
+    assertTrue(mayBegin(harness, harness.last()));
+  }
+
+  @Test
+  void nothingMayBeginAtAServerThatHasBeenToldToDrain() {
+    Harness harness = new Harness(Harness.settings(0, Harness.safe("read"))).readyServers(1);
+    harness.request(1, "read");
+    assertTrue(mayBegin(harness, harness.last()));
+    harness.balancer.onServers(
+        harness.now, ListForm.CHANGES, List.of(Harness.entry(1, Health.DRAINING, 0)));
+    assertFalse(mayBegin(harness, harness.last()));
+  }
+
+  @Test
+  void nothingMayBeginAtAServerThatAWholeListLeavesOut() {
+    Harness harness = new Harness(Harness.settings(0, Harness.safe("read"))).readyServers(1);
+    harness.request(1, "read");
+    harness.balancer.onServers(harness.now, ListForm.WHOLE, List.of(Harness.ready(2)));
+    assertFalse(mayBegin(harness, harness.last()));
+  }
+
+  @Test
+  void nothingMayBeginForARequestThatIsOver() {
+    Harness harness = new Harness(Harness.settings(0, Harness.safe("read"))).readyServers(1);
+    harness.request(1, "read");
+    harness.balancer.onGone(harness.now, 1);
+    assertFalse(mayBegin(harness, harness.last()));
+  }
+
+  /** What was safe to repeat when it was taken stays so, and what comes later is not. */
+  @Test
+  void aRequestKeepsTheSettingsThatItWasTakenUnder() {
+    Harness harness = new Harness(Harness.settings(0, Harness.safe("read"))).readyServers(3);
+    harness.request(1, "read");
+    RequestClass unsafe = Harness.type("read", RequestClass.Effect.UNSAFE, RequestClass.Group.ALL);
+    Settings later = Harness.settings(0, Harness.safe("other"), unsafe);
+    harness.balancer.reload(later);
+    harness.request(2, "read");
+    Sent before = harness.sent.get(0);
+    Sent after = harness.sent.get(1);
+
+    harness.now += 10 * MS;
+    harness.outcome(before, Outcome.RESET, false);
+    assertEquals(3, harness.sent.size(), "repeated, as it could be when it was taken");
+    assertEquals(1, harness.last().request());
+    harness.outcome(after, Outcome.RESET, false);
+    assertEquals(3, harness.sent.size());
+    assertEquals(List.of(2L), harness.failed);
+  }
+
+  /** Between two attempts, and under fewer attempts than it was promised. */
+  @Test
+  void limitsOfAttemptsAreThoseOfItsOwnSettings() {
+    Settings first = Harness.settings(0, Harness.safe("read"));
+    Harness harness = new Harness(first).readyServers(4);
+    harness.request(1, "read");
+    Settings.Limits limits = first.limits();
+    Settings.Limits one =
+        new Settings.Limits(
+            1,
+            false,
+            limits.mayCancel(),
+            limits.keepAliveNanos(),
+            limits.dialTimeoutNanos(),
+            limits.maxRetryAfterNanos());
+    harness.balancer.reload(
+        new Settings(
+            first.classes(),
+            first.tenants(),
+            first.overShareWorth(),
+            first.worthByWork(),
+            first.tier(),
+            first.instance(),
+            first.instances(),
+            first.zone(),
+            first.mustAsk(),
+            one,
+            first.obligations()));
+    harness.outcome(harness.sent.get(0), Outcome.REFUSED, false);
+    assertEquals(2, harness.sent.size());
+    harness.request(2, "read");
+    harness.outcome(harness.last(), Outcome.REFUSED, false);
+    assertEquals(List.of(2L), harness.refused);
+    harness.advance(4 * SECOND);
+  }
+}
--- a/src/test/java/meadowtrack/core/WorthTest.java
+++ b/src/test/java/meadowtrack/core/RuleSetTest.java
@@ -10,24 +10,28 @@
 import meadowtrack.api.Tenant;
 import org.junit.jupiter.api.Test;
 
-class WorthTest {
+class RuleSetTest {
   private static final double[] DELAYS = {100, 400};
 
-  private static Worth worth(boolean byWork) {
+  private static RuleSet worth(boolean byWork) {
     Settings base = Harness.settings(0, type("light", 2), type("heavy", 4));
-    return new Worth(
-        new Settings(
-            base.classes(),
-            List.of(new Tenant("one", 0.5, 8)),
-            0.05,
-            byWork,
-            0,
-            0,
-            4,
-            "a",
-            false,
-            base.limits(),
-            base.obligations()));
+    RuleSet rules =
+        new RuleSet(
+            new Settings(
+                base.classes(),
+                List.of(new Tenant("one", 0.5, 8)),
+                0.05,
+                byWork,
+                0,
+                0,
+                4,
+                "a",
+                false,
+                base.limits(),
+                base.obligations()),
+            null);
+    System.arraycopy(DELAYS, 0, rules.classDelay, 0, DELAYS.length);
+    return rules;
   }
 
   private static RequestClass type(String name, double worth) {
@@ -46,39 +50,39 @@
 
   @Test
   void countsWorthForTheWorkWhereWorthIsByRequest() {
-    assertEquals(1, worth(false).relative(0, -1, DELAYS, SECOND), 1e-12);
-    assertEquals(0.5, worth(false).relative(1, -1, DELAYS, SECOND), 1e-12);
+    assertEquals(1, worth(false).relative(0, -1, SECOND), 1e-12);
+    assertEquals(0.5, worth(false).relative(1, -1, SECOND), 1e-12);
   }
 
   @Test
   void countsImportanceAloneWhereWorthIsByWork() {
-    assertEquals(0.5, worth(true).relative(0, -1, DELAYS, SECOND), 1e-12);
-    assertEquals(1, worth(true).relative(1, -1, DELAYS, SECOND), 1e-12);
+    assertEquals(0.5, worth(true).relative(0, -1, SECOND), 1e-12);
+    assertEquals(1, worth(true).relative(1, -1, SECOND), 1e-12);
   }
 
   @Test
   void aTenantOverItsPartOfTheQuotaCountsAsTheSettingsSay() {
-    Worth worth = worth(true);
+    RuleSet worth = worth(true);
     int tenant = worth.tenant("one");
     for (int i = 0; i < 2; i++) { // Two a second is this instance's part of eight.
-      assertEquals(1, worth.relative(1, tenant, DELAYS, SECOND), 1e-12);
+      assertEquals(1, worth.relative(1, tenant, SECOND), 1e-12);
       worth.take(tenant);
     }
-    assertEquals(0.05, worth.relative(1, tenant, DELAYS, SECOND), 1e-12);
-    assertEquals(1, worth.relative(1, tenant, DELAYS, 2 * SECOND), 1e-12);
+    assertEquals(0.05, worth.relative(1, tenant, SECOND), 1e-12);
+    assertEquals(1, worth.relative(1, tenant, 2 * SECOND), 1e-12);
   }
 
   @Test
   void refusedTriesTakeNothingFromTheQuota() {
-    Worth worth = worth(true);
+    RuleSet worth = worth(true);
     for (int i = 0; i < 50; i++) {
-      assertEquals(1, worth.relative(1, 0, DELAYS, SECOND), 1e-12);
+      assertEquals(1, worth.relative(1, 0, SECOND), 1e-12);
     }
   }
 
   @Test
   void anUnknownTenantHasNoQuota() {
     assertEquals(-1, worth(true).tenant("nobody"));
-    assertTrue(worth(true).relative(1, -1, DELAYS, SECOND) > 0.99);
+    assertTrue(worth(true).relative(1, -1, SECOND) > 0.99);
   }
 }
