Ask discovery with one call at a time after a failed one

The logs of all 17 balancers show calls refused with 503 from 17 to 30 s, n0 three within 0.6 s (17.339, 17.630, 17.956): discovery was drowned by its callers and could tell nobody.

Cause: Balancer.onServers set a timer to ask after each failed call, and Balancer.onTimer another after each ask; timers are irrevocable, so every failure added one more chain of calls for good, each of which closed the call that was waiting in turn. Ruled out: discovery being down (it answers, with 503 at once), a move after SIGHUP (n5 reached the new address).

Change: Membership keeps the one time at which asking is due; older timers are ignored. A first failure is followed after 0.25 to 0.75 s, later ones after 1 to 3 s (6 s before): a change counts as told 6 s after discovery had it, whatever failed. A watch that is asked for while a call to the newest address is out waits for that one.

Test: RareMomentsTest.aFailedCallIsFollowedByOneCallAtATime, which fails on the code before.

--- a/src/main/java/maplehall/platform/DiscoveryClient.java
+++ b/src/main/java/maplehall/platform/DiscoveryClient.java
@@ -187,9 +187,16 @@
 
   @Override
   public void watch(boolean enable) {
+    if (enable && move != null) {
+      return; // A call to the newest address is out already; it keeps its turn.
+    }
+    if (enable && watch != null && watch.told && watch.uses(address)) {
+      news(watch, new News(revision, false, List.of()));
+      return;
+    }
     close(watch);
     watch = null;
-    close(move); // Whatever is opened now goes to the new address anyway.
+    close(move);
     move = null;
     if (enable) {
       String index = revision >= 0 ? "&index=" + revision : "";
--- a/src/main/java/meadowtrack/core/Balancer.java
+++ b/src/main/java/meadowtrack/core/Balancer.java
@@ -49,7 +49,7 @@
   static final long TIMER_SLACK_NANOS = 1_000_000L;
 
   private static final long SWEEP = 1;
-  private static final long ASK = 2;
+  static final long ASK = 2;
 
   private final Actions actions;
   private final SplittableRandom random;
@@ -83,17 +83,12 @@
   /** The instance starts. */
   public void start(long nowNanos) {
     sendCountNanos = nowNanos;
-    if (rules.settings.mustAsk()) {
-      actions.setTimer(members.firstAskDelayNanos(), ASK);
-    }
+    members.start(nowNanos);
   }
 
   /** Discovery has news. */
   public void onServers(long nowNanos, ListForm form, List<ServerEntry> entries) {
-    long askDelay = members.onNews(nowNanos, form, entries);
-    if (askDelay >= 0 && rules.settings.mustAsk()) {
-      actions.setTimer(askDelay, ASK);
-    }
+    members.onNews(nowNanos, form, entries);
     serveWaiting(nowNanos);
   }
 
@@ -182,7 +177,7 @@
   /** A timer has come due. */
   public void onTimer(long nowNanos, long token) {
     if (token == ASK) {
-      actions.setTimer(members.ask(), ASK);
+      members.ask(nowNanos);
     } else if (token == SWEEP) {
       sweep(nowNanos);
     }
--- a/src/main/java/meadowtrack/core/DelayWindow.java
+++ b/src/main/java/meadowtrack/core/DelayWindow.java
@@ -2,10 +2,7 @@
 
 import java.util.Arrays;
 
-/**
- * The window of one balancer over one server (Equation 2 of the paper), on delays that are given as
- * multiples of what the request's class takes at present. Nothing else is decided here.
- */
+/** The window over one server (Equation 2 of the paper); delays are multiples of their class's. */
 public final class DelayWindow {
   /** Delays in the running mean (the paper's k). */
   static final int RECENT = 8;
--- a/src/main/java/meadowtrack/core/EntryWindow.java
+++ b/src/main/java/meadowtrack/core/EntryWindow.java
@@ -1,10 +1,9 @@
 package meadowtrack.core;
 
 /**
- * The same window once more, over all calls of an entry balancer together. With many balancers a
- * window of one per server still adds up to more than the fleet can do, and only the entry can turn
- * work away before any was spent on it. Departure: the normal delay is a stated part of the aim,
- * and a cut goes straight to the new threshold, since most calls of the flight are still served.
+ * The same window over all calls of an entry balancer, which alone can turn work away before any
+ * was spent on it. Departure: the normal delay is a stated part of the aim, and a cut goes straight
+ * to the new threshold, since most calls of the flight are still served.
  */
 final class EntryWindow {
   /** Part of the aim that the recent delays may take on average. */
--- a/src/main/java/meadowtrack/core/Membership.java
+++ b/src/main/java/meadowtrack/core/Membership.java
@@ -22,6 +22,11 @@
   /** Part of the time limit after which an ask without an answer is repeated. */
   static final double ASK_AGAIN = 0.9;
 
+  /** Half of the mean wait after a first call that failed; doubled with each further one. */
+  static final long ASK_SOON_NANOS = 250_000_000L;
+
+  static final int MOST_DOUBLINGS = 3;
+
   /** A cold server gets at most this multiple of its fair part of the traffic. */
   static final double COLD_HEADROOM = 0.9;
 
@@ -37,7 +42,8 @@
   private double heaviest = 1;
   private int failedAsks;
   private boolean subscribed;
-  private boolean asked;
+  private boolean calling;
+  private long askDueNanos;
 
   Membership(Settings settings, Actions actions, SplittableRandom random) {
     this.settings = settings;
@@ -50,29 +56,44 @@
   }
 
   /** Plans the first ask: spread by seed, since all instances may start at once. */
-  long firstAskDelayNanos() {
-    return (long) (settings.obligations().mustAskInNanos() * ASK_SPREAD * random.nextDouble());
+  void start(long nowNanos) {
+    if (settings.mustAsk()) {
+      long limit = settings.obligations().mustAskInNanos();
+      askIn(nowNanos, (long) (limit * ASK_SPREAD * random.nextDouble()));
+    }
   }
 
-  /** Asks if the subscription is missing; the delay to the next look. */
-  long ask() {
-    long limit = settings.obligations().mustAskInNanos();
+  /** Only the newest plan counts: one call at a time, or all instances together drown discovery. */
+  private void askIn(long nowNanos, long delayNanos) {
+    askDueNanos = nowNanos + delayNanos;
+    actions.setTimer(delayNanos, Balancer.ASK);
+  }
+
+  /** A timer for asking has come due: asks if the subscription is missing. */
+  void ask(long nowNanos) {
+    if (nowNanos < askDueNanos - Balancer.TIMER_SLACK_NANOS) {
+      return;
+    }
     if (!subscribed) {
-      asked = true;
+      calling = true;
       actions.watch(true);
     }
-    return (long) (limit * ASK_AGAIN * (0.7 + 0.3 * random.nextDouble()));
+    long limit = settings.obligations().mustAskInNanos();
+    askIn(nowNanos, (long) (limit * ASK_AGAIN * (0.7 + 0.3 * random.nextDouble())));
   }
 
-  /** Takes news; the delay to the next ask, or -1 where none is due. */
-  long onNews(long nowNanos, ListForm form, List<ServerEntry> entries) {
+  /** Takes news; after a call that failed another is planned. */
+  void onNews(long nowNanos, ListForm form, List<ServerEntry> entries) {
     if (form == ListForm.BROKEN) {
       subscribed = false;
-      long base = 500_000_000L << Math.min(++failedAsks, 3);
-      return (long) (base * (0.5 + random.nextDouble()));
+      calling = false;
+      long base = ASK_SOON_NANOS << Math.min(++failedAsks, MOST_DOUBLINGS);
+      askIn(nowNanos, (long) (base * (0.5 + random.nextDouble())));
+      return;
     }
-    if (form != ListForm.STALE && asked) {
+    if (form != ListForm.STALE && calling) {
       subscribed = true;
+      calling = false;
       failedAsks = 0;
     }
     if (form != ListForm.CHANGES) {
@@ -81,11 +102,9 @@
     for (ServerEntry entry : entries) {
       apply(nowNanos, entry);
     }
-    // Machines are replaced under new ids for as long as a balancer runs. One that is gone is
-    // dropped when its last call has ended; if it comes back it is met as a stranger.
+    // One that is gone is dropped with its last call; if it comes back it is met as a stranger.
     known.values().removeIf(it -> it.health == Health.GONE && it.inFlight == 0);
     heaviest = known.values().stream().mapToDouble(server -> server.weight).max().orElse(1);
-    return -1;
   }
 
   int poolSize() {
@@ -159,9 +178,8 @@
   }
 
   /**
-   * A cold server that may take a call now, or null. Its budget is a rate, not a number in flight:
-   * a part of what a warm server gets, growing as the slowest permitted warm-up does. Buckets start
-   * at a random level, or all balancers would send their first call in the same instant.
+   * A cold server that may take a call now, or null. It gets a part of a warm one's rate, growing
+   * as the slowest permitted warm-up does; buckets start at random, or all would send at once.
    */
   Server coldTurn(Request request, long nowNanos, double ratePerSecond) {
     if (cold.isEmpty()) {
--- a/src/main/java/meadowtrack/core/RuleSet.java
+++ b/src/main/java/meadowtrack/core/RuleSet.java
@@ -7,11 +7,9 @@
 import meadowtrack.api.Tenant;
 
 /**
- * One version of the settings and what is learned under it: the present delay of each class, what
- * is left of each tenant's quota, and what a request is worth for its work against the best of its
- * kind. Each request keeps the version that it was taken under. A departure: the paper refuses
- * whoever comes when there is no room, and a tenant far over its quota would then push out those
- * that keep to theirs.
+ * One version of the settings with what is learned under it: delays of classes, quotas left. Each
+ * request keeps the version it was taken under. A departure: the paper refuses whoever comes when
+ * there is no room, and a tenant far over its quota would push out those that keep to theirs.
  */
 final class RuleSet {
   /** Seconds of quota that a tenant may have saved up. */
@@ -27,11 +25,7 @@
   private final double[] tokens;
   private final long[] filledNanos;
 
-  /**
-   * Takes over what was learned of classes and tenants that have the same names.
-   *
-   * @param before the version that this one replaces, or null
-   */
+  /** Takes over what was learned of the same names under the version before, or null. */
   RuleSet(Settings settings, RuleSet before) {
     this.settings = settings;
     this.limits = settings.limits();
--- a/src/test/java/meadowtrack/core/RareMomentsTest.java
+++ b/src/test/java/meadowtrack/core/RareMomentsTest.java
@@ -72,6 +72,31 @@
     assertFalse(mayBegin(harness, harness.last()));
   }
 
+  /** Or each failure would add a call to those of all balancers, and drown discovery with them. */
+  @Test
+  void aFailedCallIsFollowedByOneCallAtATime() {
+    Harness harness = new Harness(Harness.settings(0, true, true, Harness.safe("read")));
+    long endsNanos = 0;
+    int calls = 0;
+    long calledNanos = 0;
+    for (int step = 0; step < 1200; step++) {
+      harness.advance(50 * MS);
+      if (harness.watches > calls) {
+        assertEquals(calls + 1, harness.watches, "a call while another is out");
+        assertEquals(0, endsNanos, "a call while another is out");
+        calls = harness.watches;
+        calledNanos = harness.now;
+        endsNanos =
+            harness.now + 3 * SECOND; // Discovery lets it wait for so long, and then fails it.
+      } else if (endsNanos > 0 && harness.now >= endsNanos) {
+        harness.balancer.onServers(harness.now, ListForm.BROKEN, List.of());
+        endsNanos = 0;
+      }
+      assertTrue(harness.now - calledNanos < 7 * SECOND || calls == 0, "a gap between two calls");
+    }
+    assertTrue(calls > 10, "calls " + calls);
+  }
+
   /** What was safe to repeat when it was taken stays so, and what comes later is not. */
   @Test
   void aRequestKeepsTheSettingsThatItWasTakenUnder() {
