Judge a watch on discovery by whole lines, on one clock of what counts as told

Need: a change counts as told 6 s after discovery had it, whatever became of a watch. Each byte put the time off in which a watch is held for broken, so half a line that drips kept a dead watch for good; an agent's watch that never spoke was given 4.5 s, and what an agent has counts as told at once; an indented list was unreadable; an older revision undid a newer one.

Change: ListClock holds the times with their reasons, ListFramer finds the ends of lists, DiscoveryList reads them; DiscoveryClient is left with the calls. Only whole lines count; an older revision on the same watch is left out.

Tests: DiscoveryWatchTest, on sockets.

--- a/src/main/java/maplehall/platform/DiscoveryClient.java
+++ b/src/main/java/maplehall/platform/DiscoveryClient.java
@@ -26,20 +26,15 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import maplehall.dispatch.Dispatcher;
 import maplehall.dispatch.Member;
 import maplehall.node.MemberSource;
-import maplehall.runtime.Addresses;
 import maplehall.runtime.Log;
-import meadowtrack.api.Health;
 import meadowtrack.api.ListForm;
 
 /**
@@ -47,18 +42,6 @@
  * nobody asks, so the watch is kept up here.
  */
 final class DiscoveryClient implements MemberSource, Dispatcher.Discovery {
-  /** A list, whole or changes only. */
-  record News(long revision, boolean whole, List<Member> entries) {}
-
-  /**
-   * An empty line comes every 2 s. A watch that misses one by so much is cut off, and what it does
-   * not deliver counts as told all the same after 6 s; the next watch needs its time out of those.
-   */
-  private static final long SILENCE_MILLIS = 3200;
-
-  /** Before its first line a call waits in turn behind those of all other balancers. */
-  private static final long FIRST_SILENCE_MILLIS = 4500;
-
   /** After a move the new address is tried again this soon, twice as long after each failure. */
   private static final long MOVE_AGAIN_MILLIS = 200;
 
@@ -68,14 +51,11 @@
   private static final long FIRST_NEWS_MILLIS = 2500;
 
   private static final int CONNECT_MILLIS = 1000;
-  private static final long KEPT_WATCH_AGAIN_MILLIS = 500;
   private static final int MOST_LINE_BYTES = 4 << 20;
 
-  /** Later starts would overflow the module's nanoseconds. */
-  private static final long MOST_STARTED_MILLIS = 9_000_000_000_000L;
-
   private final EventLoop loop;
   private InetSocketAddress address;
+  private final ListClock clock;
   private final boolean keepWatch;
   private final Map<String, Object> known;
   private final Bootstrap bootstrap;
@@ -95,11 +75,18 @@
 
   private boolean atOnce;
 
+  /**
+   * Asks at an address.
+   *
+   * @param clock when a call is given up; of pushed lists it keeps the watch up by itself
+   * @param known the list as this balancer last had it, in discovery's form
+   */
   public DiscoveryClient(
-      EventLoop loop, InetSocketAddress address, boolean keepWatch, Map<String, Object> known) {
+      EventLoop loop, InetSocketAddress address, ListClock clock, Map<String, Object> known) {
     this.loop = loop;
     this.address = address;
-    this.keepWatch = keepWatch;
+    this.clock = clock;
+    this.keepWatch = clock.pushed();
     this.known = known;
     this.bootstrap =
         new Bootstrap()
@@ -131,9 +118,9 @@
     this.dispatcher = dispatcher;
     List<Member> entries = List.of();
     try {
-      News news = parse(known);
-      entries = news.entries();
-      revision = news.revision();
+      DiscoveryList list = DiscoveryList.parse(known);
+      entries = list.entries();
+      revision = list.revision();
     } catch (IllegalArgumentException e) {
       Log.warn("known list", "left out: " + e.getMessage());
     }
@@ -191,7 +178,7 @@
       return; // A call to the newest address is out already; it keeps its turn.
     }
     if (enable && watch != null && watch.told && watch.uses(address)) {
-      news(watch, new News(revision, false, List.of()));
+      news(watch, DiscoveryList.unchanged(revision));
       return;
     }
     close(watch);
@@ -242,7 +229,7 @@
     } else {
       watch = null;
       if (keepWatch) {
-        loop.schedule(() -> watchAgain(), KEPT_WATCH_AGAIN_MILLIS, MILLISECONDS);
+        loop.schedule(() -> watchAgain(), clock.againMillis(), MILLISECONDS);
         return; // Nobody asked, so nobody is told.
       }
     }
@@ -262,82 +249,29 @@
     }
   }
 
-  private void news(Call call, News news) {
+  private void news(Call call, DiscoveryList list) {
     if (call.uses(address)) {
-      revision = news.revision();
+      revision = list.revision();
     }
-    dispatcher.onServers(news.whole() ? ListForm.WHOLE : ListForm.CHANGES, news.entries());
+    dispatcher.onServers(list.whole() ? ListForm.WHOLE : ListForm.CHANGES, list.entries());
     firstNews.countDown();
   }
 
-  // ---- the form of a list ----
-
-  /** An entry that cannot be read is skipped; a list that is none is an error. */
-  public static News parse(Map<String, Object> json) {
-    if (!(json.get("revision") instanceof Number revision)
-        || !(json.get("members") instanceof List<?> members)) {
-      throw new IllegalArgumentException("an object with revision and members expected");
-    }
-    List<Member> entries = new ArrayList<>();
-    for (Object member : members) {
-      Member entry = member instanceof Map<?, ?> map ? entry(map) : null;
-      if (entry == null) {
-        Log.warn("discovery entry", "skipped: " + clip(String.valueOf(member)));
-      } else {
-        entries.add(entry);
-      }
-    }
-    return new News(revision.longValue(), !Boolean.FALSE.equals(json.get("complete")), entries);
-  }
-
-  private static Member entry(Map<?, ?> map) {
-    Health health = health(map.get("phase"));
-    InetSocketAddress address =
-        map.get("host_port") instanceof String text ? Addresses.parse(text) : null;
-    if (!(map.get("id") instanceof String id)
-        || health == null
-        || (address == null && health == Health.READY)) {
-      return null;
-    }
-    return new Member(
-        id,
-        address,
-        null,
-        health,
-        map.get("locality") instanceof String zone ? zone : "",
-        map.get("flavor") instanceof String kind ? kind : "",
-        map.get("cell") instanceof Number cell ? cell.longValue() : 0,
-        map.get("size") instanceof Number size ? size.doubleValue() : 1,
-        map.get("up_since_ms") instanceof Number since
-            ? Math.max(0, Math.min(since.longValue(), MOST_STARTED_MILLIS))
-            : 0);
-  }
-
-  private static Health health(Object phase) {
-    return switch (String.valueOf(phase)) {
-      case "in_service" -> Health.READY;
-      case "terminating" -> Health.DRAINING;
-      case "terminated" -> Health.GONE;
-      default -> null;
-    };
-  }
-
-  private static String clip(String text) {
-    return text.length() <= 200 ? text : text.substring(0, 200) + "...";
-  }
-
   // ---- one call ----
 
   private final class Call extends ChannelInboundHandlerAdapter {
     private final String uri;
     private final boolean stream;
     private final InetSocketAddress to = address;
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final ListFramer framer = new ListFramer(MOST_LINE_BYTES);
     private Channel channel;
     private Future<?> silence;
     private boolean told;
     private boolean closed;
 
+    /** The newest revision that this call has brought: an older one may not undo what it told. */
+    private long spokenRevision;
+
     Call(String uri, boolean stream) {
       this.uri = uri;
       this.stream = stream;
@@ -380,11 +314,12 @@
       return to.equals(address);
     }
 
+    /** Only whole lines count: half a line, however it drips, tells nothing. */
     private void heard() {
       if (silence != null) {
         silence.cancel(false);
       }
-      long millis = told ? SILENCE_MILLIS : FIRST_SILENCE_MILLIS;
+      long millis = told ? clock.lineMillis() : clock.firstLineMillis();
       silence = loop.schedule(() -> fail("silent for " + millis + " ms"), millis, MILLISECONDS);
     }
 
@@ -395,14 +330,13 @@
           read((HttpObject) message);
         }
       } catch (IOException | RuntimeException e) {
-        fail("unreadable: " + clip(String.valueOf(e.getMessage())));
+        fail("unreadable: " + DiscoveryList.clip(String.valueOf(e.getMessage())));
       } finally {
         ReferenceCountUtil.release(message);
       }
     }
 
     private void read(HttpObject part) throws IOException {
-      heard();
       if (part.decoderResult().isFailure()) {
         fail("malformed: " + part.decoderResult().cause().getMessage());
         return;
@@ -423,42 +357,41 @@
 
     private void take(ByteBuf bytes) throws IOException {
       while (bytes.isReadable() && !closed) {
-        int end = stream ? bytes.bytesBefore((byte) '\n') : -1;
-        int length = end < 0 ? bytes.readableBytes() : end;
-        if (line.size() + length > MOST_LINE_BYTES) {
-          fail("a line of over " + MOST_LINE_BYTES + " bytes");
-          return;
-        }
-        bytes.readBytes(line, length);
-        if (end >= 0) {
-          bytes.skipBytes(1);
-          line();
+        boolean complete = framer.add(bytes.readByte());
+        if (complete && stream) {
+          line(framer.take());
         }
       }
     }
 
-    private void line() throws IOException {
-      String text = line.toString(StandardCharsets.UTF_8).strip();
-      line.reset();
-      if (!text.isEmpty()) {
-        News news = parse(JSON.std.mapFrom(text));
-        told = true;
-        spoke(this);
-        news(this, news);
-      } else if (!told) {
-        // Nothing has changed since, but the module waits to hear that its call went through.
-        told = true;
-        spoke(this);
-        news(this, new News(revision, false, List.of()));
+    private void line(String text) throws IOException {
+      boolean first = !told;
+      told = true;
+      heard();
+      if (text.isEmpty() && !first) {
+        return;
+      }
+      // Empty at first: nothing has changed, but the module waits to hear that its call went
+      // through.
+      DiscoveryList list =
+          text.isEmpty()
+              ? DiscoveryList.unchanged(revision)
+              : DiscoveryList.parse(JSON.std.mapFrom(text));
+      if (!first && list.revision() < spokenRevision) {
+        Log.warn("discovery", "left out: revision " + list.revision() + " after " + spokenRevision);
+        return;
       }
+      spokenRevision = list.revision();
+      spoke(this);
+      news(this, list);
     }
 
     private void ended() throws IOException {
       if (!stream) {
-        News news = parse(JSON.std.mapFrom(line.toString(StandardCharsets.UTF_8)));
+        DiscoveryList list = DiscoveryList.parse(JSON.std.mapFrom(framer.take()));
         close();
         fetch = null;
-        news(this, news);
+        news(this, list);
       } else {
         fail("ended");
       }
--- /dev/null
+++ b/src/main/java/maplehall/platform/DiscoveryList.java
@@ -0,0 +1,81 @@
+package maplehall.platform;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import maplehall.dispatch.Member;
+import maplehall.runtime.Addresses;
+import maplehall.runtime.Log;
+import meadowtrack.api.Health;
+
+/**
+ * A list of upstreams as discovery tells it.
+ *
+ * @param revision of discovery's list; grows with each change
+ * @param whole whether an upstream that it leaves out is gone; else it names changes only
+ */
+record DiscoveryList(long revision, boolean whole, List<Member> entries) {
+  /** Later starts would overflow the module's nanoseconds. */
+  private static final long MOST_STARTED_MILLIS = 9_000_000_000_000L;
+
+  /** Nothing has changed since a revision. */
+  static DiscoveryList unchanged(long revision) {
+    return new DiscoveryList(revision, false, List.of());
+  }
+
+  /** An entry that cannot be read is skipped; a list that is none is an error. */
+  static DiscoveryList parse(Map<String, Object> json) {
+    if (!(json.get("revision") instanceof Number revision)
+        || !(json.get("members") instanceof List<?> members)) {
+      throw new IllegalArgumentException("an object with revision and members expected");
+    }
+    List<Member> entries = new ArrayList<>();
+    for (Object member : members) {
+      Member entry = member instanceof Map<?, ?> map ? entry(map) : null;
+      if (entry == null) {
+        Log.warn("discovery entry", "skipped: " + clip(String.valueOf(member)));
+      } else {
+        entries.add(entry);
+      }
+    }
+    return new DiscoveryList(
+        revision.longValue(), !Boolean.FALSE.equals(json.get("complete")), entries);
+  }
+
+  private static Member entry(Map<?, ?> map) {
+    Health health = health(map.get("phase"));
+    InetSocketAddress address =
+        map.get("host_port") instanceof String text ? Addresses.parse(text) : null;
+    if (!(map.get("id") instanceof String id)
+        || health == null
+        || (address == null && health == Health.READY)) {
+      return null;
+    }
+    return new Member(
+        id,
+        address,
+        null,
+        health,
+        map.get("locality") instanceof String zone ? zone : "",
+        map.get("flavor") instanceof String kind ? kind : "",
+        map.get("cell") instanceof Number cell ? cell.longValue() : 0,
+        map.get("size") instanceof Number size ? size.doubleValue() : 1,
+        map.get("up_since_ms") instanceof Number since
+            ? Math.max(0, Math.min(since.longValue(), MOST_STARTED_MILLIS))
+            : 0);
+  }
+
+  private static Health health(Object phase) {
+    return switch (String.valueOf(phase)) {
+      case "in_service" -> Health.READY;
+      case "terminating" -> Health.DRAINING;
+      case "terminated" -> Health.GONE;
+      default -> null;
+    };
+  }
+
+  static String clip(String text) {
+    return text.length() <= 200 ? text : text.substring(0, 200) + "...";
+  }
+}
--- a/src/main/java/maplehall/platform/PlatformNode.java
+++ b/src/main/java/maplehall/platform/PlatformNode.java
@@ -24,8 +24,8 @@
         new Node(
             config.node(),
             loop -> {
-              boolean pushed = !config.settings().mustAsk();
-              discovery = new DiscoveryClient(loop, config.discovery(), pushed, config.known());
+              ListClock clock = ListClock.of(config.settings());
+              discovery = new DiscoveryClient(loop, config.discovery(), clock, config.known());
               return discovery;
             },
             WATCH_NANOS);
--- /dev/null
+++ b/src/test/java/maplehall/platform/DiscoveryWatchTest.java
@@ -0,0 +1,215 @@
+package maplehall.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A watch that goes wrong, in every way that it can, is opened anew within the clock's time. */
+@Timeout(60)
+class DiscoveryWatchTest {
+  private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+  /** A pace, not an order: far shorter than any time of the clock. */
+  private static final long DRIP_MILLIS = 20;
+
+  private final BlockingQueue<Peer.Connection> watches = new LinkedBlockingQueue<>();
+
+  private Peer discovery() throws Exception {
+    return Peer.replying((connection, request) -> watches.add(connection));
+  }
+
+  private Peer.Connection nextWatch() throws Exception {
+    Peer.Connection watch = watches.poll(30, TimeUnit.SECONDS);
+    assertNotNull(watch, "no watch was opened");
+    return watch;
+  }
+
+  private Peer.Connection open(Peer.Connection watch) throws Exception {
+    watch.send(CHUNKED);
+    return watch;
+  }
+
+  private static void chunk(Peer.Connection watch, String text) throws Exception {
+    watch.send(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+  }
+
+  private static String list(long revision, boolean whole, String... members) {
+    return "{\"revision\":"
+        + revision
+        + ",\"complete\":"
+        + whole
+        + ",\"members\":["
+        + String.join(",", members)
+        + "]}\n";
+  }
+
+  private static String ready(Peer upstream, String id) {
+    return Fixture.json(id, upstream.address(), "in_service");
+  }
+
+  private static void assertServedBy(Fixture fixture, String name) throws Exception {
+    try (Client client = fixture.client()) {
+      assertEquals(name, client.call(Client.get("/api/x", "")).text());
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void oneThatNeverSpeaksIsReplaced(boolean pushed) throws Exception {
+    try (Peer discovery = discovery();
+        Peer upstream = Peer.serving("found");
+        Fixture fixture = fixture(discovery, pushed).start()) {
+      open(nextWatch());
+      chunk(open(nextWatch()), list(50, true, ready(upstream, "s-9")));
+      awaitServed(fixture);
+    }
+  }
+
+  private static Fixture fixture(Peer discovery, boolean pushed) {
+    return pushed ? new Fixture().pushed(discovery) : new Fixture().asking(discovery);
+  }
+
+  private static void awaitServed(Fixture fixture) throws Exception {
+    testing.Await.until(
+        "served by the upstream of the list",
+        () -> {
+          try (Client client = fixture.client()) {
+            return client.call(Client.get("/api/x", "")).status() == 200;
+          } catch (Exception e) {
+            throw new AssertionError(e);
+          }
+        });
+  }
+
+  /** Its bytes keep the connection alive, and tell nothing. */
+  @Test
+  void oneThatBringsNothingButHalfALineIsReplaced() throws Exception {
+    try (Peer discovery = discovery();
+        Fixture fixture = new Fixture().pushed(discovery).start()) {
+      Peer.Connection dripping = open(nextWatch());
+      chunk(dripping, "\n");
+      Thread drip =
+          new Thread(
+              () -> {
+                try {
+                  chunk(dripping, "{\"revision\":5");
+                  while (true) {
+                    chunk(dripping, " ");
+                    Thread.sleep(DRIP_MILLIS);
+                  }
+                } catch (Exception e) {
+                  // The balancer has closed it.
+                }
+              });
+      drip.start();
+      assertNotNull(nextWatch());
+      drip.join();
+    }
+  }
+
+  @Test
+  void aListMayComeIndentedAndByteByByte() throws Exception {
+    try (Peer discovery = discovery();
+        Peer upstream = Peer.serving("found");
+        Fixture fixture = new Fixture().pushed(discovery).start()) {
+      Peer.Connection watch = open(nextWatch());
+      String indented =
+          list(50, true, ready(upstream, "s-9")).replace(",", ",\n  ").replace("{", "{\n ");
+      for (char c : indented.toCharArray()) {
+        chunk(watch, String.valueOf(c));
+      }
+      awaitServed(fixture);
+    }
+  }
+
+  /** An old answer may not undo what a newer one has told. */
+  @Test
+  void anOlderListAfterANewerOneIsLeftOut() throws Exception {
+    try (Peer discovery = discovery();
+        Peer first = Peer.serving("first");
+        Peer second = Peer.serving("second");
+        Fixture fixture = new Fixture().pushed(discovery).start()) {
+      Peer.Connection watch = open(nextWatch());
+      chunk(watch, list(50, true, ready(first, "s-1"), ready(second, "s-2")));
+      chunk(watch, list(52, false, Fixture.json("s-1", first.address(), "terminating")));
+      chunk(watch, list(51, false, ready(first, "s-1")));
+      chunk(watch, list(53, false)); // When this has been taken, the others have.
+      awaitServed(fixture);
+      for (int i = 0; i < 20; i++) {
+        assertServedBy(fixture, "second");
+      }
+    }
+  }
+
+  @Test
+  void whatAWholeListLeavesOutIsGoneThoughItStillAnswers() throws Exception {
+    try (Peer discovery = discovery();
+        Peer left = Peer.serving("left out");
+        Peer listed = Peer.serving("listed");
+        Fixture fixture = new Fixture().upstream(left).pushed(discovery).start()) {
+      assertServedBy(fixture, "left out");
+      Peer.Connection watch = open(nextWatch());
+      try (LoopGate gate = fixture.holdLoop();
+          Client client = fixture.client()) {
+        chunk(watch, list(50, true, ready(listed, "s-9"))); // Told first, in the same turn
+        client.send(Client.get("/api/x", "")); // as the choice is made.
+        gate.close();
+        assertEquals("listed", client.read().text());
+      }
+    }
+  }
+
+  @Test
+  void oneThatIsResetJustAfterAWholeListLeavesTheListInForce() throws Exception {
+    try (Peer discovery = discovery();
+        Peer upstream = Peer.serving("found");
+        Fixture fixture = new Fixture().pushed(discovery).start()) {
+      Peer.Connection watch = open(nextWatch());
+      chunk(watch, list(50, true, ready(upstream, "s-9")));
+      awaitServed(fixture);
+      watch.reset();
+      open(nextWatch());
+      assertServedBy(fixture, "found");
+      assertEquals("GET /discovery/hosts?stream=1&index=41 HTTP/1.1", discovery.request().start());
+      assertEquals("GET /discovery/hosts?stream=1&index=50 HTTP/1.1", discovery.request().start());
+    }
+  }
+
+  /** In order, in the middle of a line: what had begun is not told. */
+  @Test
+  void oneThatEndsInsideALineIsReplacedAndTellsNothing() throws Exception {
+    try (Peer discovery = discovery();
+        Peer kept = Peer.serving("kept");
+        Fixture fixture = new Fixture().upstream(kept).pushed(discovery).start()) {
+      Peer.Connection watch = open(nextWatch());
+      chunk(watch, "\n");
+      String line = list(50, true);
+      chunk(watch, line.substring(0, line.length() - 2));
+      watch.send("0\r\n\r\n");
+      open(nextWatch());
+      assertServedBy(fixture, "kept");
+    }
+  }
+
+  /** The times of the clock leave room for the next call, whatever grace the settings give. */
+  @ParameterizedTest
+  @ValueSource(longs = {500, 1000, 2000, 10_000})
+  void theClockLeavesTimeForTheNextCall(long grace) {
+    long slowestCall = 3000;
+    long latestRetry = 750; // Of the module, after a first failure.
+    ListClock asked = new ListClock(false, grace);
+    ListClock pushed = new ListClock(true, grace);
+    assertTrue(asked.lineMillis() > ListClock.HEARTBEAT_MILLIS);
+    assertTrue(asked.lineMillis() + latestRetry + slowestCall < ListClock.TOLD_MILLIS + grace);
+    assertTrue(asked.firstLineMillis() > slowestCall);
+    assertTrue(pushed.firstLineMillis() + pushed.againMillis() < grace);
+  }
+}
