End client connections by shutting the sending side, and take nothing that cannot be answered

Need: bytes may arrive in the moment in which a connection is closed or the process told to end.

Causes and changes: ClientHandler closed an answered or resting connection at once; it now shuts its sending and reads what still comes for a while (lingerAfter, the one way); what is read then is never sent on. Dispatcher.failAll left a body that came whole after it without an end before SIGKILL; it is now refused at once. The handler for SIGTERM was installed after the listener, and a drain before the bind left the listener open; both are mended. UpstreamPool used a connection again at once though a second copy of its answer may follow; where any such was seen in the last minute it rests 50 ms first.

--- a/src/main/java/maplehall/Main.java
+++ b/src/main/java/maplehall/Main.java
@@ -56,13 +56,15 @@
     PlatformNode balancer = new PlatformNode(config, environment);
     // Before it can be seen as ready: a SIGHUP that finds no handler ends the process.
     balancer.reload().install();
+    // And before anything can be taken: a SIGTERM that finds no handler loses what has been.
+    balancer.node().shutdown().install();
     try {
       balancer.start();
     } catch (Exception e) { // Netty throws the cause of a failed bind undeclared.
       System.err.println("listen: cannot use " + config.listen() + ": " + e.getMessage());
+      balancer.node().shutdown().uninstall();
       return 1;
     }
-    balancer.node().shutdown().install();
     Log.info("start", config.name() + " listens on " + balancer.node().address());
     return -1;
   }
--- a/src/main/java/maplehall/cli/Commands.java
+++ b/src/main/java/maplehall/cli/Commands.java
@@ -79,14 +79,15 @@
       return 1;
     }
     Signals.onHangUp(balancer::reload); // Before it can be seen as ready.
+    balancer.node().shutdown().install();
     try {
       balancer.start();
     } catch (Exception e) { // Netty throws the cause of a failed bind undeclared.
       err().println(file + ": cannot listen: " + e.getMessage());
+      balancer.node().shutdown().uninstall();
       balancer.stop();
       return 1;
     }
-    balancer.node().shutdown().install();
     String name = result.config().node().name();
     Log.info("start", name + " listens on " + balancer.node().address());
     return RUNNING;
--- a/src/main/java/maplehall/dispatch/Dispatcher.java
+++ b/src/main/java/maplehall/dispatch/Dispatcher.java
@@ -86,6 +86,7 @@
   private Elsewhere elsewhere;
 
   private boolean inEvent;
+  private boolean ending;
   private long nextRequestId = 1;
   private long nextUpstreamId = 1;
 
@@ -244,6 +245,10 @@
     client.taken(request);
     counters.requests++;
     request.deadline = loop.schedule(() -> onDeadline(request), ttlNanos, NANOSECONDS);
+    if (ending) {
+      turnAway(request);
+      return;
+    }
     event(
         request,
         () -> {
@@ -306,8 +311,12 @@
     }
   }
 
-  /** No time is left for any decision: the process is about to be killed. */
+  /**
+   * No time is left for any decision: the process is about to be killed. What is taken from now on,
+   * a body that was long in coming say, is turned away at once, as nothing of it has run.
+   */
   public void failAll() {
+    ending = true;
     for (LiveRequest request : List.copyOf(requests.values())) {
       abort(request);
     }
--- a/src/main/java/maplehall/http1/ClientHandler.java
+++ b/src/main/java/maplehall/http1/ClientHandler.java
@@ -91,6 +91,9 @@
   /** From the last answer to its close: time for the client to read it. */
   private static final long LINGER_NANOS = 500_000_000L;
 
+  /** The same for a connection that was closed between requests: nothing is owed on it. */
+  private static final long LINGER_IDLE_NANOS = 200_000_000L;
+
   /** What is read and thrown away of a request that has been turned away. */
   private static final long MOST_LINGER_BYTES = 1L << 20;
 
@@ -702,7 +705,7 @@
     if (!keep) {
       phase = Phase.LINGER;
       dropPipelined();
-      written.addListener(ChannelFutureListener.CLOSE);
+      lingerAfter(written);
       return;
     }
     phase = Phase.IDLE;
@@ -716,9 +719,19 @@
     phase = Phase.LINGER;
     lingerNanos = LINGER_UPLOAD_NANOS;
     upload.release();
+    lingerAfter(written);
+  }
+
+  /**
+   * The one way in which an answered connection ends: its sending is shut, and what still comes is
+   * read and thrown away until the client closes too, or for a while. A close over unread bytes is
+   * a reset, which takes along what the client has not read of its answer.
+   */
+  private void lingerAfter(ChannelFuture written) {
     written.addListener(
         done -> {
           if (channel instanceof SocketChannel socket) {
+            channel.config().setAutoRead(true);
             socket.shutdownOutput();
           }
         });
@@ -756,16 +769,7 @@
     server.becameBusy(this);
     dropBody();
     dropPipelined();
-    channel.config().setAutoRead(true);
-    // Closed at once with unread bytes, the connection would be reset and the answer lost.
-    channel
-        .writeAndFlush(answer)
-        .addListener(
-            done -> {
-              if (channel instanceof SocketChannel socket) {
-                socket.shutdownOutput();
-              }
-            });
+    lingerAfter(channel.writeAndFlush(answer));
   }
 
   // ---- the end ----
@@ -850,20 +854,36 @@
   }
 
   /**
-   * Closes a connection between requests; false if a request turns out to be on it. The socket is
-   * read first: one that has come but has not been read would be lost with the connection.
+   * Closes a connection between requests at once, for its descriptor; false if a request turns out
+   * to be on it. The socket is read first: one that has come but has not been read would be lost
+   * with the connection.
    */
-  public boolean closeIdle() {
-    if (phase == Phase.IDLE && channel.isActive()) {
-      ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
-    }
-    if (phase != Phase.IDLE && phase != Phase.LINGER || headSinceNanos > 0) {
+  public boolean evict() {
+    if (!atRest()) {
       return false;
     }
     channel.close();
     return true;
   }
 
+  /** Ends a connection between requests; what crosses the end is read, and never sent on. */
+  public void closeIdle() {
+    if (phase == Phase.IDLE && atRest()) {
+      phase = Phase.LINGER;
+      sinceNanos = clock.nowNanos();
+      lingerNanos = LINGER_IDLE_NANOS;
+      server.leaves(this);
+      lingerAfter(channel.newSucceededFuture());
+    }
+  }
+
+  private boolean atRest() {
+    if (phase == Phase.IDLE && channel.isActive()) {
+      ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+    }
+    return (phase == Phase.IDLE || phase == Phase.LINGER) && headSinceNanos == 0;
+  }
+
   /** Whether a request has ever begun on the connection. */
   public boolean asked() {
     return asked;
--- a/src/main/java/maplehall/http1/ClientServer.java
+++ b/src/main/java/maplehall/http1/ClientServer.java
@@ -38,6 +38,9 @@
   /** The client that has been idle longest first. */
   private final Set<ClientHandler> idle = new LinkedHashSet<>();
 
+  /** Ended between requests, but not closed by their clients yet. */
+  private final Set<ClientHandler> leaving = new LinkedHashSet<>();
+
   /** Those that have not asked for anything yet, oldest first. */
   private final Set<ClientHandler> silent = new LinkedHashSet<>();
 
@@ -46,6 +49,7 @@
   private Channel listener;
   private boolean draining;
   private boolean closing;
+  private boolean stopped;
 
   /** A header that no client may send, or null. */
   private String forbidden;
@@ -75,10 +79,19 @@
     if (shared) {
       bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
     }
-    listener = bootstrap.bind(address).sync().channel();
+    Channel bound = bootstrap.bind(address).sync().channel();
+    loop.submit(() -> listening(bound)).sync();
     loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, MILLISECONDS);
   }
 
+  /** A process that was told to end while it started takes nobody. */
+  private void listening(Channel bound) {
+    listener = bound;
+    if (stopped) {
+      bound.close();
+    }
+  }
+
   public InetSocketAddress address() {
     return (InetSocketAddress) listener.localAddress();
   }
@@ -120,6 +133,7 @@
   private void closed(ClientHandler client) {
     budget.closed();
     clients.remove(client);
+    leaving.remove(client);
     becameBusy(client);
     resumeAccepting();
   }
@@ -135,6 +149,12 @@
     idle.add(client);
   }
 
+  /** Its end has been told to its client; its descriptor may be had at once. */
+  void leaves(ClientHandler client) {
+    becameBusy(client);
+    leaving.add(client);
+  }
+
   public void becameBusy(ClientHandler client) {
     if (!idle.remove(client)) {
       silent.remove(client);
@@ -148,14 +168,15 @@
    */
   public boolean evictIdle() {
     boolean silentFirst = silent.size() > budget.mostConnections() / 16;
-    return silentFirst ? evict(silent) || evict(idle) : evict(idle) || evict(silent);
+    return evict(leaving)
+        || (silentFirst ? evict(silent) || evict(idle) : evict(idle) || evict(silent));
   }
 
   private static boolean evict(Set<ClientHandler> from) {
     while (!from.isEmpty()) {
       ClientHandler client = from.iterator().next();
       from.remove(client); // One that proves busy is told of again when it has been answered.
-      if (client.closeIdle()) {
+      if (client.evict()) {
         return true;
       }
     }
@@ -192,6 +213,10 @@
 
   /** Takes no more connections, after those that have already come. */
   public void stopListening() {
+    stopped = true;
+    if (listener == null) {
+      return;
+    }
     int before;
     do {
       before = clients.size();
--- a/src/main/java/maplehall/http1/UpstreamConnection.java
+++ b/src/main/java/maplehall/http1/UpstreamConnection.java
@@ -304,11 +304,12 @@
       }
       HttpObject part = (HttpObject) message;
       if (phase == Phase.COMPLETE || phase == Phase.PASSED) {
-        reusable = false; // More than was asked for; what is complete stays so.
+        tooMuch(); // What is complete stays so.
       } else if (part.decoderResult().isFailure()) {
         spoilt("malformed: " + part.decoderResult().cause());
       } else if (phase == Phase.IDLE) {
         Log.warn("unasked bytes", upstream.name + ": connection closed", "server", upstream.name);
+        tooMuch();
         close();
       } else {
         if (part instanceof HttpResponse response) {
@@ -326,7 +327,7 @@
   private void head(HttpResponse response) {
     int status = response.status().code();
     if (phase == Phase.DISCARD) {
-      reusable = false; // A second answer to one request.
+      tooMuch(); // A second answer to one request.
     } else if (status >= 100 && status < 200 && status != 101) {
       phase = Phase.INTERIM;
     } else if (status == HttpResponseStatus.OK.code()) {
@@ -413,7 +414,7 @@
           settle();
         }
       }
-      default -> reusable = false; // More than was asked for; what is complete stays so.
+      default -> tooMuch(); // What is complete stays so.
     }
   }
 
@@ -448,6 +449,7 @@
     }
     boolean came = decoder.reads() != readsBefore;
     if (phase == Phase.IDLE && came) {
+      tooMuch();
       close(); // Bytes that nobody asked for, even if they make no message yet.
     } else if (phase == Phase.HEAD && betweenMessages()) {
       noStall(); // Interim answers came whole; the real one may take its time.
@@ -457,7 +459,7 @@
     if (phase == Phase.PASS) {
       client.passFlush();
     } else if (phase == Phase.PASSED) {
-      reusable &= !decoder.leftovers();
+      checkLeftovers();
       AnswerSink to = client;
       client = null;
       settle();
@@ -465,7 +467,7 @@
       return;
     }
     if (phase == Phase.COMPLETE) {
-      reusable &= !decoder.leftovers();
+      checkLeftovers();
       ByteBuf body = gathered;
       gathered = null;
       Attempt served = attempt;
@@ -477,6 +479,18 @@
     }
   }
 
+  private void checkLeftovers() {
+    if (decoder.leftovers()) {
+      tooMuch();
+    }
+  }
+
+  /** More came than belongs to an answer. */
+  private void tooMuch() {
+    reusable = false;
+    pool.sawMore();
+  }
+
   private void watchForStall() {
     Attempt begun = attempt;
     readsAtStall = decoder.reads();
--- a/src/main/java/maplehall/http1/UpstreamPool.java
+++ b/src/main/java/maplehall/http1/UpstreamPool.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
@@ -36,6 +37,15 @@
    */
   static final long SUSPECT_NANOS = 1_000_000_000L;
 
+  /**
+   * Where some answers bring more than belongs to them, the more may come a moment after its
+   * answer, and would be taken for that of the next request on its connection. So for a while after
+   * any was seen a connection rests before it is used again. Where none is seen nothing waits.
+   */
+  static final long REST_NANOS = 50_000_000L;
+
+  private static final long WARY_NANOS = 60_000_000_000L;
+
   private static final int DEFAULT_DIAL_MILLIS = 1000;
 
   private final Clock clock;
@@ -43,6 +53,7 @@
   private final long keepNanos;
   private final BooleanSupplier evictClient;
   private final Bootstrap bootstrap;
+  private long moreSeenNanos = Long.MIN_VALUE / 2;
 
   /** Of all upstreams, the one that has been idle longest first. */
   private final Set<UpstreamConnection> idle = new LinkedHashSet<>();
@@ -120,7 +131,9 @@
   }
 
   private UpstreamConnection takeIdle(Upstream upstream) {
-    for (UpstreamConnection next = newest(upstream); next != null; next = newest(upstream)) {
+    for (UpstreamConnection next = newestAtRest(upstream);
+        next != null;
+        next = newestAtRest(upstream)) {
       forget(next);
       if (next.stillGood(clock.nowNanos() - keepNanos)) {
         return next;
@@ -135,6 +148,29 @@
     return of == null ? null : of.peekLast();
   }
 
+  /** The newest on which nothing more of its last answer is to be expected. */
+  private UpstreamConnection newestAtRest(Upstream upstream) {
+    ArrayDeque<UpstreamConnection> of = idleOf.get(upstream);
+    if (of == null) {
+      return null;
+    }
+    long now = clock.nowNanos();
+    boolean wary = now - moreSeenNanos < WARY_NANOS;
+    Iterator<UpstreamConnection> newestFirst = of.descendingIterator();
+    while (newestFirst.hasNext()) {
+      UpstreamConnection next = newestFirst.next();
+      if (!wary || now - next.idleSinceNanos() >= REST_NANOS) {
+        return next;
+      }
+    }
+    return null;
+  }
+
+  /** An upstream has sent more than belongs to its answer. */
+  void sawMore() {
+    moreSeenNanos = clock.nowNanos();
+  }
+
   /** An exchange has ended well and its connection can carry another. */
   public void giveBack(UpstreamConnection connection) {
     if (connection.upstream.unwanted || keepNanos <= 0) {
--- a/src/main/java/maplehall/node/Shutdown.java
+++ b/src/main/java/maplehall/node/Shutdown.java
@@ -49,6 +49,7 @@
   private final MemberSource members;
   private final List<Front> fronts;
   private final CountDownLatch drained = new CountDownLatch(1);
+  private Thread hook;
   private BooleanSupplier followed = () -> false;
   private volatile boolean begun;
 
@@ -103,27 +104,37 @@
     return begun;
   }
 
-  /** Drains at SIGTERM. The JVM would exit with the signal's code, so the hook ends it itself. */
+  /**
+   * Drains at SIGTERM, also at one that comes while the balancer starts. The JVM would exit with
+   * the signal's code, so the hook ends it itself.
+   */
   public void install() {
-    Runtime.getRuntime()
-        .addShutdownHook(
-            new Thread(
-                () -> {
-                  try {
-                    drain().await();
-                  } catch (InterruptedException e) {
-                    Log.warn("shutdown", "interrupted");
-                  }
-                  if (last != null) {
-                    last.run();
-                  }
-                  Runtime.getRuntime().halt(0);
-                },
-                "shutdown"));
+    hook = new Thread(this::drainAndEnd, "shutdown");
+    Runtime.getRuntime().addShutdownHook(hook);
+  }
+
+  /** Nothing was started that could be drained. */
+  public void uninstall() {
+    Runtime.getRuntime().removeShutdownHook(hook);
+  }
+
+  private void drainAndEnd() {
+    try {
+      drain().await();
+    } catch (InterruptedException e) {
+      Log.warn("shutdown", "interrupted");
+    }
+    if (last != null) {
+      last.run();
+    }
+    Runtime.getRuntime().halt(0);
   }
 
   /** Begins the drain; the latch opens when it is complete. */
   public CountDownLatch drain() {
+    if (begun) {
+      return drained; // A second signal asks for what is already going on.
+    }
     begun = true;
     boolean leave = followed.getAsBoolean();
     loop.execute(
--- a/src/test/java/maplehall/platform/Fixture.java
+++ b/src/test/java/maplehall/platform/Fixture.java
@@ -179,13 +179,23 @@
   }
 
   Fixture start() throws Exception {
+    build();
+    balancer.start();
+    return this;
+  }
+
+  /** Puts the balancer together and leaves it unstarted. */
+  Fixture build() throws Exception {
     NodeConfig config = NodeConfig.of(config(), environment);
     balancer = new PlatformNode(config, environment);
     node = balancer.node();
-    balancer.start();
     return this;
   }
 
+  PlatformNode balancer() {
+    return balancer;
+  }
+
   Reload reload() {
     return balancer.reload();
   }
