Take new settings at SIGHUP for what is taken from then on, and keep the old ones for the rest

Need: a reload must never leave a request on another's settings, and new requests get the new classes, deadlines, tenants and limits wholly. SIGHUP read the file and used the address of discovery alone, so classes, effects and limits stayed those of the start.

Change: Reload hands the settings to Node, and that to dispatcher, decision module, connections and drain, in one task of the loop. A request whose head was read before is judged anew when it is taken; one that was taken keeps RuleSet, class, deadline and number of attempts. Listening address, descriptors and the way of discovery need a restart, and the log says so.

--- a/src/main/java/maplehall/dispatch/Dispatcher.java
+++ b/src/main/java/maplehall/dispatch/Dispatcher.java
@@ -61,7 +61,7 @@
 
   private final EventExecutor loop;
   private final Clock clock;
-  private final Settings settings;
+  private Settings settings;
   private final Map<String, RequestClass> classes = new HashMap<>();
   private final Map<Long, LiveRequest> requests = new HashMap<>();
 
@@ -87,6 +87,7 @@
 
   private boolean inEvent;
   private boolean ending;
+  private int reloads;
   private long nextRequestId = 1;
   private long nextUpstreamId = 1;
 
@@ -129,6 +130,23 @@
     onServers(ListForm.STALE, known);
   }
 
+  /**
+   * Other settings for the requests that are taken from now on. What is open keeps those that it
+   * was taken under, to its end.
+   */
+  public void reload(Settings to) {
+    settings = to;
+    reloads++;
+    classes.clear();
+    to.classes().forEach(type -> classes.put(type.name(), type));
+    balancer.reload(to);
+  }
+
+  /** How often the settings have been replaced: what was read by a class before may be void. */
+  public int reloads() {
+    return reloads;
+  }
+
   /** Requests that have come in since the start. */
   public long taken() {
     return nextRequestId - 1;
@@ -239,6 +257,7 @@
     LiveRequest request =
         new LiveRequest(
             nextRequestId++, name, client, type, payload, clock.nowNanos(), ttlNanos, this);
+    request.mostTries = settings.limits().mostTries();
     request.retryAfterNanos = Math.min(RETRY_AFTER_NANOS, settings.limits().maxRetryAfterNanos());
     requests.put(request.id, request);
     open.add(request.name);
@@ -608,7 +627,7 @@
     request.openAttempts++;
     if (request.over
         || now >= request.deadlineNanos
-        || attempt.number >= settings.limits().mostTries()
+        || attempt.number >= request.mostTries
         || !request.payload.repeatable()
         || !mayBegin(attempt)
         || !request.payload.start(attempt)) {
--- a/src/main/java/maplehall/dispatch/LiveRequest.java
+++ b/src/main/java/maplehall/dispatch/LiveRequest.java
@@ -102,6 +102,9 @@
   /** Whether all attempts so far never ran. */
   boolean neverRan = true;
 
+  /** By the settings that it was taken under. */
+  int mostTries;
+
   /** What its caller is told of when to come back, should it be turned away. */
   long retryAfterNanos;
 
--- a/src/main/java/maplehall/http1/ClientHandler.java
+++ b/src/main/java/maplehall/http1/ClientHandler.java
@@ -139,6 +139,10 @@
   private long sinceNanos;
   private long headSinceNanos;
   private HttpRequest head;
+
+  /** The settings that the head was read by, as {@link Dispatcher#reloads} counts them. */
+  private int readUnder;
+
   private boolean keepAlive;
   private RequestClass type;
   private long ttlNanos;
@@ -292,6 +296,7 @@
     server.becameBusy(this);
     asked = true;
     head = next;
+    readUnder = dispatcher.reloads();
     version = next.protocolVersion();
     keepAlive = HttpUtil.isKeepAlive(next);
     phase = Phase.BODY;
@@ -352,6 +357,19 @@
         : "method or key does not fit class " + type.name();
   }
 
+  /**
+   * What has become wrong with the request since its head was read, or null. Its id may have been
+   * taken by another meanwhile; and it is taken wholly under the settings that hold now.
+   */
+  private String faultSince() {
+    if (readUnder != dispatcher.reloads()) {
+      readUnder = dispatcher.reloads();
+      return fault(head);
+    }
+    boolean open = dispatcher.isOpen(head.headers().get(HeaderRules.REQUEST_ID));
+    return open ? HeaderRules.REQUEST_ID + " of an open request" : null;
+  }
+
   private void reserve(long bytes) {
     long more = bytes - reserved;
     waiting =
@@ -410,8 +428,9 @@
 
   /** A long one is taken now, and the rest of its body goes on as it comes. */
   private void takeEarly() {
-    if (dispatcher.isOpen(head.headers().get(HeaderRules.REQUEST_ID))) {
-      reject(HttpResponseStatus.BAD_REQUEST, HeaderRules.REQUEST_ID + " of an open request");
+    String fault = faultSince();
+    if (fault != null) {
+      reject(HttpResponseStatus.BAD_REQUEST, fault);
       return;
     }
     addTail();
@@ -529,8 +548,9 @@
       reject(HttpResponseStatus.BAD_REQUEST, "more than one request at a time");
       return;
     }
-    if (type != null && dispatcher.isOpen(head.headers().get(HeaderRules.REQUEST_ID))) {
-      reject(HttpResponseStatus.BAD_REQUEST, HeaderRules.REQUEST_ID + " of an open request");
+    String fault = type == null ? null : faultSince();
+    if (fault != null) {
+      reject(HttpResponseStatus.BAD_REQUEST, fault);
       return;
     }
     ByteBuf whole = body;
--- a/src/main/java/maplehall/http1/UpstreamPool.java
+++ b/src/main/java/maplehall/http1/UpstreamPool.java
@@ -47,10 +47,11 @@
   private static final long WARY_NANOS = 60_000_000_000L;
 
   private static final int DEFAULT_DIAL_MILLIS = 1000;
+  private static final int MOST_DIAL_MILLIS = 60_000;
 
   private final Clock clock;
   final Budget budget;
-  private final long keepNanos;
+  private long keepNanos;
   private final BooleanSupplier evictClient;
   private final Bootstrap bootstrap;
   private long moreSeenNanos = Long.MIN_VALUE / 2;
@@ -70,16 +71,21 @@
     this.evictClient = evictClient;
     this.clock = clock;
     this.budget = budget;
-    this.keepNanos = (long) (limits.keepAliveNanos() * KEEP_SHARE);
-    long dialMillis = limits.dialTimeoutNanos() / 1_000_000;
     this.bootstrap =
         new Bootstrap()
             .group(loop)
             .channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(
-                ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                dialMillis > 0 ? (int) Math.min(dialMillis, 60_000) : DEFAULT_DIAL_MILLIS);
+            .option(ChannelOption.TCP_NODELAY, true);
+    reload(limits);
+  }
+
+  /** Other limits, for idle connections and for those that are opened from now on. */
+  public final void reload(Settings.Limits limits) {
+    keepNanos = (long) (limits.keepAliveNanos() * KEEP_SHARE);
+    long dialMillis = limits.dialTimeoutNanos() / 1_000_000;
+    bootstrap.option(
+        ChannelOption.CONNECT_TIMEOUT_MILLIS,
+        dialMillis > 0 ? (int) Math.min(dialMillis, MOST_DIAL_MILLIS) : DEFAULT_DIAL_MILLIS);
   }
 
   /** Starts an attempt on an idle connection or a new one; false if no descriptor can be had. */
--- a/src/main/java/maplehall/node/Node.java
+++ b/src/main/java/maplehall/node/Node.java
@@ -14,6 +14,7 @@
 import maplehall.runtime.Clock;
 import maplehall.runtime.Log;
 import maplehall.runtime.LoopWatch;
+import meadowtrack.api.Settings;
 
 /** One running balancer: its parts, put together on one event loop. */
 public final class Node {
@@ -75,6 +76,13 @@
     loop.scheduleAtFixedRate(this::logFigures, FIGURES_SECONDS, FIGURES_SECONDS, SECONDS);
   }
 
+  /** Other settings for all that is taken and opened from now on; on the loop. */
+  public void reload(Settings to) {
+    dispatcher.reload(to);
+    pool.reload(to.limits());
+    shutdown.reload(to);
+  }
+
   public InetSocketAddress address() {
     return server.address();
   }
--- a/src/main/java/maplehall/node/Shutdown.java
+++ b/src/main/java/maplehall/node/Shutdown.java
@@ -57,9 +57,9 @@
   private volatile Runnable last;
 
   /** When what is owed fails, and until when requests are taken on open connections. */
-  private final long finishMillis;
+  private long finishMillis;
 
-  private final long takeMillis;
+  private long takeMillis;
 
   public Shutdown(
       EventLoop loop,
@@ -68,10 +68,7 @@
       Dispatcher dispatcher,
       MemberSource members,
       List<Front> fronts) {
-    long longest =
-        settings.classes().stream().mapToLong(RequestClass::deadlineNanos).max().orElse(0);
-    finishMillis = Math.min(longest / 1_000_000, MOST_DEADLINE_MILLIS) + KILL_MILLIS - SPARE_MILLIS;
-    takeMillis = Math.max(LISTEN_MILLIS, finishMillis - ANSWER_MILLIS);
+    reload(settings);
     this.loop = loop;
     this.server = server;
     this.dispatcher = dispatcher;
@@ -79,6 +76,14 @@
     this.fronts = fronts;
   }
 
+  /** The longest deadline of other settings says when SIGKILL comes; before the drain. */
+  final void reload(Settings settings) {
+    long longest =
+        settings.classes().stream().mapToLong(RequestClass::deadlineNanos).max().orElse(0);
+    finishMillis = Math.min(longest / 1_000_000, MOST_DEADLINE_MILLIS) + KILL_MILLIS - SPARE_MILLIS;
+    takeMillis = Math.max(LISTEN_MILLIS, finishMillis - ANSWER_MILLIS);
+  }
+
   /** Tells whether another process of this balancer takes the clients that come from now on. */
   public void followed(BooleanSupplier by) {
     followed = by;
--- a/src/main/java/maplehall/platform/DiscoveryClient.java
+++ b/src/main/java/maplehall/platform/DiscoveryClient.java
@@ -36,6 +36,7 @@
 import maplehall.node.MemberSource;
 import maplehall.runtime.Log;
 import meadowtrack.api.ListForm;
+import meadowtrack.api.Settings;
 
 /**
  * Asks discovery for the list and for its changes, when the module wants it. Where lists are pushed
@@ -55,7 +56,7 @@
 
   private final EventLoop loop;
   private InetSocketAddress address;
-  private final ListClock clock;
+  private ListClock clock;
   private final boolean keepWatch;
   private final Map<String, Object> known;
   private final Bootstrap bootstrap;
@@ -138,6 +139,11 @@
     close(move);
   }
 
+  /** Other settings; whether lists are pushed or asked for stays as it was at the start. */
+  void reload(Settings settings) {
+    clock = new ListClock(clock.pushed(), ListClock.of(settings).graceMillis());
+  }
+
   /**
    * From now on asks at another address. The old watch is heard until the new one has spoken, so
    * that no news falls between the two. The versions of one discovery need not be those of another:
--- a/src/main/java/maplehall/platform/NodeConfig.java
+++ b/src/main/java/maplehall/platform/NodeConfig.java
@@ -42,6 +42,13 @@
     return new NodeSettings(name, listen, console != null, seed, sockets, settings);
   }
 
+  /** Whether a process that was started by the other one can go by this one's settings. */
+  boolean sameProcess(NodeConfig other) {
+    return listen.equals(other.listen)
+        && sockets == other.sockets
+        && settings.mustAsk() == other.settings.mustAsk();
+  }
+
   /** Reads the file that {@code EDGE_CONFIG} names. */
   public static NodeConfig load(Map<String, String> environment) throws Invalid {
     String path = environment.get("EDGE_CONFIG");
--- a/src/main/java/maplehall/platform/PlatformNode.java
+++ b/src/main/java/maplehall/platform/PlatformNode.java
@@ -29,7 +29,7 @@
               return discovery;
             },
             WATCH_NANOS);
-    reload = new Reload(node.loop(), environment, discovery);
+    reload = new Reload(node, config, environment, discovery);
     operations = config.console() == null ? null : new Operations(node, folder(environment));
   }
 
--- a/src/main/java/maplehall/platform/Reload.java
+++ b/src/main/java/maplehall/platform/Reload.java
@@ -1,23 +1,26 @@
 package maplehall.platform;
 
-import io.netty.channel.EventLoop;
-import java.net.InetSocketAddress;
 import java.util.Map;
+import maplehall.node.Node;
 import maplehall.runtime.Log;
 import maplehall.runtime.Signals;
 
 /**
- * SIGHUP: the configuration is read again and discovery is asked at the address that it names now.
- * Without this the JVM takes the signal for one to end on. A file that cannot be used changes
- * nothing, since a balancer that runs on its old settings is better than none.
+ * SIGHUP: the configuration is read again. Requests that are taken from then on go by its settings,
+ * those that are open keep theirs, and discovery is asked at the address that it names now. Without
+ * this the JVM takes the signal for one to end on. A file that cannot be used changes nothing,
+ * since a balancer that runs on its old settings is better than none.
  */
 public final class Reload {
-  private final EventLoop loop;
+  private final Node node;
+  private final NodeConfig started;
   private final Map<String, String> environment;
   private final DiscoveryClient discovery;
 
-  public Reload(EventLoop loop, Map<String, String> environment, DiscoveryClient discovery) {
-    this.loop = loop;
+  Reload(
+      Node node, NodeConfig started, Map<String, String> environment, DiscoveryClient discovery) {
+    this.node = node;
+    this.started = started;
     this.environment = environment;
     this.discovery = discovery;
   }
@@ -30,11 +33,21 @@
   /** Reads the file on the calling thread and leaves the rest to the loop. */
   public void reload() {
     try {
-      InetSocketAddress address = NodeConfig.load(environment).discovery();
-      Log.info("reload", "discovery is at " + address);
-      loop.execute(() -> discovery.moveTo(address));
+      NodeConfig config = NodeConfig.load(environment);
+      Log.info("reload", "discovery is at " + config.discovery());
+      if (!config.sameProcess(started)) {
+        Log.warn(
+            "reload", "other addresses, limits of sockets or ways of discovery need a restart");
+      }
+      node.loop().execute(() -> take(config));
     } catch (NodeConfig.Invalid | RuntimeException e) {
       Log.warn("reload", "configuration left as it was: " + e.getMessage());
     }
   }
+
+  private void take(NodeConfig config) {
+    node.reload(config.settings());
+    discovery.reload(config.settings());
+    discovery.moveTo(config.discovery());
+  }
 }
--- a/src/test/java/maplehall/platform/Fixture.java
+++ b/src/test/java/maplehall/platform/Fixture.java
@@ -16,6 +16,7 @@
   static final long MS = 1_000_000L;
 
   private final Map<String, Object> limits = new LinkedHashMap<>();
+  private final Map<String, String> classes = new LinkedHashMap<>();
   private final List<Object> members = new ArrayList<>();
   private String discovery = "127.0.0.1:1";
   private boolean ask;
@@ -30,6 +31,7 @@
   private Node node;
 
   Fixture() {
+    classes("view", "read_like", "keyed", "idempotency_key", "publish", "non_idempotent");
     limits.put("most_tries", 4);
     limits.put("may_duplicate", true);
     limits.put("cancelling", true);
@@ -127,6 +129,15 @@
     return this;
   }
 
+  /** Classes of these names and effects in place of the usual three. */
+  Fixture classes(String... namesAndEffects) {
+    classes.clear();
+    for (int i = 0; i < namesAndEffects.length; i += 2) {
+      classes.put(namesAndEffects[i], namesAndEffects[i + 1]);
+    }
+    return this;
+  }
+
   private Map<String, Object> type(String name, String effect) {
     return Map.of(
         "name",
@@ -149,10 +160,7 @@
     Map<String, Object> settings = new LinkedHashMap<>();
     settings.put(
         "classes",
-        List.of(
-            type("view", "read_like"),
-            type("keyed", "idempotency_key"),
-            type("publish", "non_idempotent")));
+        classes.entrySet().stream().map(each -> type(each.getKey(), each.getValue())).toList());
     settings.put("limits", limits);
     settings.put("membership_mode", ask ? "subscribe" : "automatic");
     settings.put("zone", "a");
--- /dev/null
+++ b/src/test/java/maplehall/platform/ReloadSettingsTest.java
@@ -0,0 +1,191 @@
+package maplehall.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * A reload under requests: each is decided wholly by the settings that it was taken under. Before
+ * the reload "view" may be repeated, after it it must never run twice, and the other way round.
+ */
+@Timeout(60)
+class ReloadSettingsTest {
+  /** Calls that an upstream gets at once before it has answered any. */
+  private static final int WINDOW = 32;
+
+  @TempDir Path folder;
+
+  private final BlockingQueue<Peer.Connection> held = new LinkedBlockingQueue<>();
+  private final List<Client> clients = new ArrayList<>();
+  private Path file;
+  private Peer upstream;
+  private Fixture fixture;
+
+  @BeforeEach
+  void put() throws Exception {
+    file = folder.resolve("config.json");
+    upstream = Peer.replying((connection, request) -> held.add(connection));
+    fixture = new Fixture().upstream(upstream);
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    for (Client client : clients) {
+      client.close();
+    }
+    fixture.close();
+    upstream.close();
+  }
+
+  private void start() throws Exception {
+    fixture.file(file).start();
+  }
+
+  private Client client() throws Exception {
+    Client client = fixture.client();
+    clients.add(client);
+    return client;
+  }
+
+  private Peer.Connection nextHeld() throws InterruptedException {
+    Peer.Connection connection = held.poll(30, TimeUnit.SECONDS);
+    assertNotNull(connection, "the call does not reach the upstream");
+    return connection;
+  }
+
+  /** The other way round, and in force when this returns. */
+  private void reload() throws Exception {
+    fixture.classes("view", "non_idempotent", "publish", "read_like").file(file);
+    fixture.reload().reload();
+    fixture.node().loop().submit(() -> {}).sync();
+  }
+
+  private static String get(String type, String id) {
+    return Client.get("/api/x", "").replace("r1", id).replace("view", type);
+  }
+
+  private static String post(String type, String id) {
+    return Client.post(type, "", "x").replace("r1", id);
+  }
+
+  @Test
+  void anAttemptThatIsOutIsRepeatedAsItCouldBeWhenItWasTaken() throws Exception {
+    start();
+    Client before = client();
+    before.send(get("view", "r1"));
+    Peer.Connection attempt = nextHeld();
+    reload();
+    attempt.reset();
+    nextHeld().answer(200, "", "second");
+    assertEquals("second", before.read().text());
+  }
+
+  @Test
+  void whatMustNotRunTwiceStaysSoThoughItsClassMayNow() throws Exception {
+    start();
+    Client before = client();
+    before.send(post("publish", "r1"));
+    Peer.Connection attempt = nextHeld();
+    reload();
+    attempt.reset();
+    assertEquals(502, before.read().status(), "failed: it may have run");
+    Client after = client();
+    after.send(get("publish", "r2"));
+    nextHeld().reset();
+    nextHeld().answer(200, "", "second");
+    assertEquals("second", after.read().text());
+    assertTrue(held.isEmpty());
+  }
+
+  @Test
+  void oneBetweenTwoAttemptsGoesOnAsItBegan() throws Exception {
+    start();
+    Client before = client();
+    before.send(get("view", "r1"));
+    Peer.Connection attempt = nextHeld();
+    try (LoopGate gate = fixture.holdLoop()) {
+      attempt.reset(); // The end of the first attempt and the reload come in one turn.
+      fixture.classes("view", "non_idempotent", "publish", "read_like").file(file);
+      fixture.reload().reload();
+    }
+    nextHeld().answer(200, "", "second");
+    assertEquals("second", before.read().text());
+  }
+
+  @Test
+  void oneThatWaitsIsSentAndRepeatedAsItWasTaken() throws Exception {
+    fixture.tier(1);
+    start();
+    List<Peer.Connection> full = new ArrayList<>();
+    for (int i = 0; i < WINDOW; i++) {
+      client().send(get("view", "full" + i));
+      full.add(nextHeld());
+    }
+    Client waits = client();
+    waits.send(get("view", "r1"));
+    fixture.awaitLive(WINDOW + 1);
+    reload();
+    full.get(0).answer(200, "", "room");
+    nextHeld().reset();
+    nextHeld().answer(200, "", "served");
+    assertEquals("served", waits.read().text());
+  }
+
+  @Test
+  void aRequestThatWasHalfReadIsTakenWhollyUnderTheNewSettings() throws Exception {
+    start();
+    Client half = client();
+    String request = post("publish", "r1");
+    half.send(request.substring(0, request.length() - 1));
+    Client probe = client(); // Its answer shows that the loop has read what came before.
+    assertEquals(200, probe.call(Client.get("/up", "")).status());
+    reload();
+    half.send(request.substring(request.length() - 1));
+    assertEquals(400, half.read().status(), "its method is not that of its class any more");
+    assertTrue(held.isEmpty());
+  }
+
+  @Test
+  void aNewRequestIsTakenUnderTheNewSettings() throws Exception {
+    start();
+    reload();
+    assertEquals(400, client().call(get("view", "r1")).status());
+    Client after = client();
+    after.send(post("view", "r2"));
+    nextHeld().reset();
+    assertEquals(502, after.read().status(), "failed: it may have run");
+  }
+
+  @Test
+  void aBrokenFileChangesNothing() throws Exception {
+    start();
+    for (String broken :
+        List.of(
+            "",
+            "{ cut off",
+            "[]",
+            Files.readString(file).replace("hard_limit_ns", "no_limit"),
+            Files.readString(file).replace("127.0.0.1:1\"", "nowhere\""))) {
+      Files.writeString(file, broken);
+      fixture.reload().reload();
+      fixture.node().loop().submit(() -> {}).sync();
+      Client client = client();
+      client.send(get("view", "r1"));
+      nextHeld().answer(200, "", "ok");
+      assertEquals("ok", client.read().text());
+    }
+  }
+}
