Hold thirty processes before one cold server to the budget of the fleet

ColdFleetTest: 30 instances that share nothing, 12 servers, one of them cold, uneven traffic at 0.6 to 3.5 times the capacity: in no 2 s more than N + 2 x root of N + 2 calls.

--- /dev/null
+++ b/src/test/java/meadowtrack/core/ColdFleetTest.java
@@ -0,0 +1,130 @@
+package meadowtrack.core;
+
+import static meadowtrack.core.Harness.MS;
+import static meadowtrack.core.Harness.SECOND;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import meadowtrack.api.Health;
+import meadowtrack.api.ListForm;
+import meadowtrack.api.Outcome;
+import meadowtrack.api.ServerEntry;
+import meadowtrack.api.Settings;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * What thirty processes together send to a server that has just started, with no message between
+ * them: in no stretch of the time that the settings name more than the budget of N calls and what
+ * is put down to chance, 2 x root of N + 2.
+ */
+class ColdFleetTest {
+  private static final int BALANCERS = 30;
+  private static final int SERVERS = 12;
+  private static final long COLD = SERVERS;
+
+  /** Calls a second that a warm server can do, and how long each takes there. */
+  private static final double SERVER_RATE = 8;
+
+  private static final long CALL_NANOS = 250 * MS;
+  private static final long STEP_NANOS = 5 * MS;
+  private static final long WARM_UP_SECONDS = 20;
+
+  private record End(long dueNanos, Harness at, Harness.Sent attempt) {}
+
+  private final SplittableRandom random;
+  private final List<Harness> fleet = new ArrayList<>();
+  private final PriorityQueue<End> ends =
+      new PriorityQueue<>((one, other) -> Long.compare(one.dueNanos(), other.dueNanos()));
+  private final ArrayDeque<Long> toCold = new ArrayDeque<>();
+  private final Settings settings = Harness.settings(1, Harness.safe("read"));
+  private final int[] seen = new int[BALANCERS];
+  private long nextId = 1;
+  private long startedNanos;
+
+  ColdFleetTest() {
+    random = new SplittableRandom(11);
+  }
+
+  /** Calm, overload, and a burst of half as much again beside clients that come again and again. */
+  @ParameterizedTest
+  @CsvSource({"0.6, 1, 1", "0.6, 1, 2", "1.2, 1, 3", "1.4, 1.5, 4", "1.4, 2.5, 5"})
+  void theFleetKeepsToTheBudget(double load, double burst, long seed) {
+    for (int i = 0; i < BALANCERS; i++) {
+      Harness harness = new Harness(settings, seed * 1000 + i);
+      List<ServerEntry> warm = new ArrayList<>();
+      for (long id = 1; id < SERVERS; id++) {
+        warm.add(Harness.ready(id));
+      }
+      harness.balancer.onServers(harness.now, ListForm.WHOLE, warm);
+      fleet.add(harness);
+    }
+    run(5 * SECOND, load);
+    startedNanos = fleet.get(0).now;
+    for (Harness harness : fleet) {
+      harness.balancer.onServers(
+          harness.now, ListForm.CHANGES, List.of(Harness.entry(COLD, Health.READY, startedNanos)));
+    }
+    run(2 * SECOND, load);
+    run((WARM_UP_SECONDS - 4) * SECOND, load * burst);
+    assertTrue(!toCold.isEmpty() || load < 1, "it warms up by what it gets");
+  }
+
+  private void run(long nanos, double load) {
+    double perStep = load * SERVER_RATE * SERVERS * STEP_NANOS / SECOND;
+    long until = fleet.get(0).now + nanos;
+    while (fleet.get(0).now < until) {
+      long now = fleet.get(0).now + STEP_NANOS;
+      fleet.forEach(harness -> harness.advance(STEP_NANOS));
+      while (!ends.isEmpty() && ends.peek().dueNanos() <= now) {
+        End end = ends.poll();
+        end.at().outcome(end.attempt(), Outcome.OK, true);
+      }
+      int arrivals = (int) perStep + (random.nextDouble() < perStep % 1 ? 1 : 0);
+      for (int i = 0; i < arrivals; i++) {
+        // Some balancers get several times what others do.
+        int at = (int) (BALANCERS * random.nextDouble() * random.nextDouble());
+        fleet.get(at).request(nextId++, "read");
+      }
+      for (int i = 0; i < BALANCERS; i++) {
+        follow(i, now);
+      }
+    }
+  }
+
+  private void follow(int index, long now) {
+    Harness harness = fleet.get(index);
+    for (; seen[index] < harness.sent.size(); seen[index]++) {
+      Harness.Sent attempt = harness.sent.get(seen[index]);
+      long took = (long) (CALL_NANOS * (0.5 + random.nextDouble()));
+      if (attempt.server() == COLD) {
+        took = (long) (took / share(now));
+        toCold.add(now);
+        hold(now);
+      }
+      ends.add(new End(now + took, harness, attempt));
+    }
+  }
+
+  private double share(long now) {
+    double start = settings.obligations().startCapacity();
+    double age = (now - startedNanos) / (double) settings.obligations().warmUpNanos();
+    return start + (1 - start) * Math.min(1, age);
+  }
+
+  private void hold(long now) {
+    long window = settings.obligations().fallNanos();
+    while (toCold.peek() <= now - window) {
+      toCold.poll();
+    }
+    double budget =
+        settings.obligations().tipMultiple() * share(now) * SERVER_RATE * window / SECOND;
+    assertTrue(
+        toCold.size() <= budget + 2 * Math.sqrt(budget) + 2,
+        toCold.size() + " calls where " + budget + " are allowed");
+  }
+}
