--- a/src/test/java/maplehall/platform/Fixture.java
+++ b/src/test/java/maplehall/platform/Fixture.java
@@ -105,7 +105,11 @@
   }
 
   Fixture pushed(Peer peer) {
-    discovery = peer.address();
+    return pushedAt(peer.address());
+  }
+
+  Fixture pushedAt(String address) {
+    discovery = address;
     return this;
   }
 
@@ -230,6 +234,19 @@
                 == requests);
   }
 
+  /** Whether the upstream of this name is on the list that the balancer goes by. */
+  boolean knows(String name) {
+    return node.loop()
+        .submit(() -> node.dispatcher().loads(Integer.MAX_VALUE).containsKey(name))
+        .syncUninterruptibly()
+        .getNow();
+  }
+
+  /** Connections of clients and to upstreams that the balancer counts. */
+  int connections() {
+    return node.loop().submit(() -> node.budget().connections()).syncUninterruptibly().getNow();
+  }
+
   /** One call to the second address: the status. */
   int call(String method, String path) throws Exception {
     try (Client client = new Client(balancer.operations().address())) {
--- /dev/null
+++ b/src/test/java/maplehall/platform/UpstreamCrossingTest.java
@@ -0,0 +1,133 @@
+package maplehall.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * A connection to an upstream that ends, or brings something, in the moment in which it is used.
+ */
+@Timeout(60)
+class UpstreamCrossingTest {
+  /** What the upstream does on an idle connection. */
+  enum Ending {
+    CLOSED {
+      @Override
+      void on(Peer.Connection connection) throws Exception {
+        connection.socket().close();
+      }
+    },
+    RESET {
+      @Override
+      void on(Peer.Connection connection) throws Exception {
+        connection.reset();
+      }
+    },
+    UNASKED_BYTES {
+      @Override
+      void on(Peer.Connection connection) throws Exception {
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nforged");
+      }
+    },
+    HALF_A_LINE {
+      @Override
+      void on(Peer.Connection connection) throws Exception {
+        connection.send("HTTP/1.");
+      }
+    };
+
+    abstract void on(Peer.Connection connection) throws Exception;
+  }
+
+  private final BlockingQueue<Peer.Connection> held = new LinkedBlockingQueue<>();
+
+  private Peer.Connection nextHeld() throws InterruptedException {
+    Peer.Connection connection = held.poll(30, TimeUnit.SECONDS);
+    assertNotNull(connection, "the call does not reach the upstream");
+    return connection;
+  }
+
+  /** A request that must not run twice would be lost on it. */
+  @ParameterizedTest
+  @EnumSource(Ending.class)
+  void anIdleConnectionThatEndsAsItIsTakenGetsNoRequest(Ending ending) throws Exception {
+    try (Peer upstream = Peer.replying((connection, request) -> held.add(connection));
+        Fixture fixture = new Fixture().upstream(upstream).start();
+        Client client = fixture.client()) {
+      client.send(Client.get("/api/x", ""));
+      Peer.Connection idle = nextHeld();
+      idle.answer(200, "", "first");
+      assertEquals("first", client.read().text());
+      try (LoopGate gate = fixture.holdLoop()) {
+        client.send(
+            Client.post("publish", "", "x").replace("r1", "r2")); // The loop finds this first.
+        ending.on(idle);
+      }
+      Peer.Connection other = nextHeld();
+      assertTrue(other.number() != idle.number(), "on a connection of its own");
+      other.answer(200, "", "second");
+      assertEquals("second", client.read().text());
+    }
+  }
+
+  /** It may have run, whatever came of it. */
+  @Test
+  void aResetAfterTheLastByteOfAnUnsafeRequestIsAFailure() throws Exception {
+    try (Peer upstream = Peer.replying((connection, request) -> held.add(connection));
+        Fixture fixture = new Fixture().upstream(upstream).start();
+        Client client = fixture.client()) {
+      client.send(Client.post("publish", "", "x"));
+      nextHeld().reset();
+      assertEquals(502, client.read().status());
+      assertTrue(held.isEmpty(), "and it is not sent again");
+    }
+  }
+
+  /** Its attempt has been given up by then: not a byte goes out on it. */
+  @Test
+  void aConnectionThatComesUpAfterItsClientLeftCarriesNothing() throws Exception {
+    List<Socket> full = new ArrayList<>();
+    try (ServerSocket upstream = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      InetSocketAddress address = (InetSocketAddress) upstream.getLocalSocketAddress();
+      for (int i = 0; i < 2; i++) { // So many wait for an accept; the next one gets no answer.
+        Socket socket = new Socket();
+        socket.connect(address, 30_000);
+        full.add(socket);
+      }
+      try (Fixture fixture = new Fixture().address("127.0.0.1:" + address.getPort()).start();
+          Client client = fixture.client()) {
+        client.send(Client.post("publish", "", "x"));
+        fixture.awaitLive(1);
+        client.close();
+        fixture.awaitLive(0);
+        for (int i = 0; i < full.size(); i++) {
+          upstream.accept().close();
+        }
+        try (Client later = fixture.client()) {
+          later.send(Client.get("/later", ""));
+          try (Socket next = upstream.accept()) {
+            assertEquals("GET /later HTTP/1.1", Http.read(next.getInputStream()).start());
+          }
+        }
+      }
+    } finally {
+      for (Socket socket : full) {
+        socket.close();
+      }
+    }
+  }
+}
