Tell the upstream of a long body no more time than its client waits

Seen by reading, then in a test: a request that is taken before its body has come has 600 s more for the upload, and its attempt told the upstream 608.97 s where its client waits 9 s (HttpPayload.forwardHead). Told is at most the client's own time now. Test: LongMessagesTest.aLongBodyGoesOnAsItComes, which fails without the mend in both framings.

--- a/src/main/java/maplehall/http1/ClientHandler.java
+++ b/src/main/java/maplehall/http1/ClientHandler.java
@@ -437,7 +437,7 @@
     long held = reserved;
     reserved = 0;
     long length = HttpUtil.getContentLength(head, -1L);
-    upload = new Upload(this, server.budget, length, body, held);
+    upload = new Upload(this, server.budget, length, ttlNanos, body, held);
     body = null;
     HttpRequest taken = head;
     head = null;
--- a/src/main/java/maplehall/http1/HttpPayload.java
+++ b/src/main/java/maplehall/http1/HttpPayload.java
@@ -109,7 +109,8 @@
   /** The head of a request whose body follows piece by piece. */
   HttpRequest forwardHead(long leftNanos) {
     HttpHeaders copy = headers.copy();
-    copy.set(HeaderRules.DEADLINE, HeaderRules.seconds(leftNanos));
+    long toldNanos = Math.min(leftNanos, upload.callerNanos());
+    copy.set(HeaderRules.DEADLINE, HeaderRules.seconds(toldNanos));
     if (upload.length() >= 0) {
       copy.set(HttpHeaderNames.CONTENT_LENGTH, upload.length());
     } else {
--- a/src/main/java/maplehall/http1/Upload.java
+++ b/src/main/java/maplehall/http1/Upload.java
@@ -15,6 +15,7 @@
   private final ClientHandler client;
   private final Budget budget;
   private final long length;
+  private final long callerNanos;
   private final ArrayDeque<ByteBuf> pending = new ArrayDeque<>();
 
   /** What came before the request was taken, or null once more than that has gone on. */
@@ -30,15 +31,28 @@
    * Takes over the first part and its place in the budget.
    *
    * @param length of the whole body, or -1 where its client did not say
+   * @param callerNanos how long the client waits once all of it has come
    */
-  Upload(ClientHandler client, Budget budget, long length, ByteBuf first, long reserved) {
+  Upload(
+      ClientHandler client,
+      Budget budget,
+      long length,
+      long callerNanos,
+      ByteBuf first,
+      long reserved) {
     this.client = client;
     this.budget = budget;
     this.length = length;
+    this.callerNanos = callerNanos;
     this.first = first;
     this.reserved = reserved;
   }
 
+  /** The most that an upstream may be told: the body may take far longer than its client waits. */
+  long callerNanos() {
+    return callerNanos;
+  }
+
   long length() {
     return length;
   }
--- a/src/test/java/maplehall/platform/LongMessagesTest.java
+++ b/src/test/java/maplehall/platform/LongMessagesTest.java
@@ -262,10 +262,12 @@
     byte[] body = body(LONG);
     CountDownLatch seen = new CountDownLatch(1);
     byte[][] got = new byte[1][];
+    double[] told = new double[1];
     try (Peer peer =
             new Peer(
                 connection -> {
                   Http.Message head = Http.readHead(connection.in());
+                  told[0] = Double.parseDouble(head.headers().get("x-deadline"));
                   seen.countDown();
                   got[0] = Http.body(connection.in(), head);
                   connection.answer(200, "", "done");
@@ -285,6 +287,7 @@
       framing.end(out);
       assertEquals("done", client.read().text());
       assertArrayEquals(body, got[0]);
+      assertTrue(told[0] <= 9, "told more than its client waits: " + told[0]);
       assertEquals(200, client.call(Client.get("/up", "")).status());
     }
   }
