Judge connections that fail against a server's peers, and keep those that come up late

Change: a connection that fails counts as an error and is judged against the peers' share; idle connections are closed for silence after two in a row; one whose attempt has failed goes on for up to 2 s and carries the next call. Its descriptor is the first to be had by others.

Tests that fail without: RareMomentsTest.aServerWhoseConnectionsFailAsOftenAsItsPeersStaysInService, UpstreamCrossingTest.aConnectionThatComesUpAfterItsAttemptFailedIsUsedByTheNext.

--- a/src/main/java/maplehall/border/Upstream.java
+++ b/src/main/java/maplehall/border/Upstream.java
@@ -26,6 +26,20 @@
 
   public long silentSinceNanos;
 
+  /** Connections one after the other that did not come up in time, with nothing heard between. */
+  private int dialTimeouts;
+
+  /** Something has come from it. */
+  public void heard(long nowNanos) {
+    silentSinceNanos = nowNanos;
+    dialTimeouts = 0;
+  }
+
+  /** A connection did not come up in time; how many did not since it was heard of. */
+  public int dialTimedOut() {
+    return ++dialTimeouts;
+  }
+
   public Upstream(long id, String name) {
     this.id = id;
     this.name = name;
--- a/src/main/java/maplehall/http1/UpstreamConnection.java
+++ b/src/main/java/maplehall/http1/UpstreamConnection.java
@@ -9,7 +9,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
@@ -68,6 +67,9 @@
 
   private static final long MOST_DISCARD_MILLIS = 1000;
 
+  /** So many connections in a row that do not come up in time are a machine that is cut off. */
+  private static final int SILENT_DIALS = 2;
+
   private enum Phase {
     /** No exchange is on. */
     IDLE,
@@ -95,6 +97,8 @@
   private Attempt attempt;
   private HttpPayload payload;
   private Phase phase = Phase.IDLE;
+  private boolean dialing;
+  private Future<?> dialTimeout;
   private boolean written;
   private boolean reusable;
   private boolean closed;
@@ -129,19 +133,41 @@
     if (connecting.isDone()) {
       dialed(connecting);
     } else {
+      dialing = true;
+      dialTimeout =
+          channel.eventLoop().schedule(this::dialTimedOut, pool.dialMillis(), MILLISECONDS);
       connecting.addListener(done -> dialed(connecting));
     }
   }
 
+  /**
+   * The attempt is over; the connection is not. One that comes up late is as good as any, and where
+   * many do, to open each anew would find most of them late again.
+   */
+  private void dialTimedOut() {
+    dialTimeout = null;
+    if (upstream.dialTimedOut() >= SILENT_DIALS) {
+      pool.closeSilent(upstream); // What is silent now is silent on those too.
+    }
+    pool.comesLate(this);
+    end(Outcome.CONNECT_FAILED);
+  }
+
   private void dialed(ChannelFuture connecting) {
+    dialing = false;
+    if (dialTimeout != null) {
+      dialTimeout.cancel(false);
+      dialTimeout = null;
+    }
     if (!connecting.isSuccess()) {
-      if (connecting.cause() instanceof ConnectTimeoutException) {
-        pool.closeIdle(upstream); // What is silent now is silent on those too.
-      }
       end(Outcome.CONNECT_FAILED);
       close();
     } else if (attempt != null) {
       write();
+    } else if (!closed) {
+      upstream.heard(clock.nowNanos());
+      reusable = true;
+      settle();
     }
   }
 
@@ -213,7 +239,11 @@
   @Override
   public void abandon() {
     attempt = null;
-    close();
+    if (dialing && !closed) {
+      pool.comesLate(this);
+    } else {
+      close();
+    }
   }
 
   // ---- an answer that goes on as it comes ----
@@ -298,7 +328,7 @@
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     try {
-      upstream.silentSinceNanos = clock.nowNanos();
+      upstream.heard(clock.nowNanos());
       if (closed) {
         return;
       }
@@ -598,6 +628,10 @@
     }
     closed = true;
     noStall();
+    if (dialTimeout != null) {
+      dialTimeout.cancel(false);
+      dialTimeout = null;
+    }
     if (payload != null && payload.upload() != null) {
       payload.upload().detach(this);
     }
--- a/src/main/java/maplehall/http1/UpstreamPool.java
+++ b/src/main/java/maplehall/http1/UpstreamPool.java
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
@@ -47,6 +48,10 @@
   private static final long WARY_NANOS = 60_000_000_000L;
 
   private static final int DEFAULT_DIAL_MILLIS = 1000;
+
+  /** A connection that has not come up after so long is given up, whether anybody waits or not. */
+  private static final int LATE_DIAL_MILLIS = 2000;
+
   private static final int MOST_DIAL_MILLIS = 60_000;
 
   private final Clock clock;
@@ -54,6 +59,11 @@
   private long keepNanos;
   private final BooleanSupplier evictClient;
   private final Bootstrap bootstrap;
+  private int dialMillis;
+
+  /** Those that nobody waits for and that may still come up, oldest first. */
+  private final Set<UpstreamConnection> late = new LinkedHashSet<>();
+
   private long moreSeenNanos = Long.MIN_VALUE / 2;
 
   /** Of all upstreams, the one that has been idle longest first. */
@@ -83,9 +93,24 @@
   public final void reload(Settings.Limits limits) {
     keepNanos = (long) (limits.keepAliveNanos() * KEEP_SHARE);
     long dialMillis = limits.dialTimeoutNanos() / 1_000_000;
+    this.dialMillis =
+        dialMillis > 0 ? (int) Math.min(dialMillis, MOST_DIAL_MILLIS) : DEFAULT_DIAL_MILLIS;
     bootstrap.option(
-        ChannelOption.CONNECT_TIMEOUT_MILLIS,
-        dialMillis > 0 ? (int) Math.min(dialMillis, MOST_DIAL_MILLIS) : DEFAULT_DIAL_MILLIS);
+        ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.max(this.dialMillis, LATE_DIAL_MILLIS));
+  }
+
+  /** For which an attempt waits for its connection. */
+  int dialMillis() {
+    return dialMillis;
+  }
+
+  /** Its attempt waits no longer, or has gone; it may still come up and be of use to another. */
+  void comesLate(UpstreamConnection connection) {
+    if (connection.upstream.unwanted || keepNanos <= 0) {
+      connection.close();
+    } else {
+      late.add(connection);
+    }
   }
 
   /** Starts an attempt on an idle connection or a new one; false if no descriptor can be had. */
@@ -97,7 +122,7 @@
     if (upstream.attempts++ == 0) {
       upstream.silentSinceNanos = clock.nowNanos();
     } else if (clock.nowNanos() - upstream.silentSinceNanos > SUSPECT_NANOS) {
-      closeIdle(upstream);
+      closeSilent(upstream);
     }
     UpstreamConnection reused = takeIdle(upstream);
     if (reused != null) {
@@ -179,6 +204,7 @@
 
   /** An exchange has ended well and its connection can carry another. */
   public void giveBack(UpstreamConnection connection) {
+    late.remove(connection);
     if (connection.upstream.unwanted || keepNanos <= 0) {
       connection.close();
     } else {
@@ -188,6 +214,7 @@
   }
 
   public void forget(UpstreamConnection connection) {
+    late.remove(connection);
     if (idle.remove(connection)) {
       ArrayDeque<UpstreamConnection> of = idleOf.get(connection.upstream);
       if (of.peekLast() == connection) {
@@ -201,13 +228,23 @@
     }
   }
 
-  /** After a restart, a new address, a drain, or silence. */
-  @Override
-  public void closeIdle(Upstream upstream) {
+  /** A connection that still comes up will tell by itself; an idle one would not. */
+  void closeSilent(Upstream upstream) {
     for (UpstreamConnection next = newest(upstream); next != null; next = newest(upstream)) {
       forget(next);
       next.close();
     }
+  }
+
+  /** After a restart, a new address, a drain, or silence. */
+  @Override
+  public void closeIdle(Upstream upstream) {
+    closeSilent(upstream);
+    for (UpstreamConnection connection : new ArrayList<>(late)) {
+      if (connection.upstream == upstream) {
+        connection.close();
+      }
+    }
     if (upstream.removed) {
       idleOf.remove(upstream);
     }
@@ -230,10 +267,11 @@
 
   /** Closes the connection that has been idle longest, for its descriptor; false if none is. */
   public boolean evictIdle() {
-    if (idle.isEmpty()) {
+    Set<UpstreamConnection> from = late.isEmpty() ? idle : late;
+    if (from.isEmpty()) {
       return false;
     }
-    idle.iterator().next().close();
+    from.iterator().next().close();
     return true;
   }
 
--- a/src/main/java/meadowtrack/core/Balancer.java
+++ b/src/main/java/meadowtrack/core/Balancer.java
@@ -412,9 +412,9 @@
     }
     switch (outcome) {
       case OK -> served(nowNanos, attempt, tookNanos);
-      // A dying server resets all its calls at once; single resets may strike all servers alike.
-      case ERROR, RESET -> errored(nowNanos, attempt);
-      case REFUSED, CONNECT_FAILED -> retire(nowNanos, attempt);
+      // A dying server fails all its calls at once; single resets, late connections may strike all.
+      case ERROR, RESET, CONNECT_FAILED -> errored(nowNanos, attempt, outcome);
+      case REFUSED -> retire(nowNanos, attempt);
       case TIMEOUT -> {
         if (server.heardNanos < attempt.sentNanos) {
           retire(nowNanos, attempt);
@@ -448,9 +448,9 @@
     }
   }
 
-  private void errored(long nowNanos, Request.Attempt attempt) {
+  private void errored(long nowNanos, Request.Attempt attempt, Outcome outcome) {
     Server server = attempt.server;
-    server.heardNanos = nowNanos;
+    server.heardNanos = outcome == Outcome.CONNECT_FAILED ? server.heardNanos : nowNanos;
     noteError(server, 1);
     // At upper tiers an error may come from the tier below and then strikes all servers alike.
     if (server.errorShare > errorShare + ERROR_MARGIN) {
--- a/src/test/java/maplehall/platform/UpstreamCrossingTest.java
+++ b/src/test/java/maplehall/platform/UpstreamCrossingTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import testing.Await;
 
 /**
  * A connection to an upstream that ends, or brings something, in the moment in which it is used.
@@ -97,6 +98,45 @@
     }
   }
 
+  /**
+   * Its attempt has failed by then, but the connection is as good as any: the next call takes it.
+   */
+  @Test
+  void aConnectionThatComesUpAfterItsAttemptFailedIsUsedByTheNext() throws Exception {
+    List<Socket> full = new ArrayList<>();
+    try (ServerSocket upstream = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      upstream.setSoTimeout(20_000);
+      InetSocketAddress address = (InetSocketAddress) upstream.getLocalSocketAddress();
+      for (int i = 0; i < 2; i++) {
+        Socket socket = new Socket();
+        socket.connect(address, 30_000);
+        full.add(socket);
+      }
+      try (Fixture fixture =
+              new Fixture()
+                  .limit("dial_timeout_ns", 100 * Fixture.MS)
+                  .limit("most_tries", 1)
+                  .address("127.0.0.1:" + address.getPort())
+                  .start();
+          Client first = fixture.client();
+          Client second = fixture.client()) {
+        assertEquals(503, first.call(Client.post("publish", "", "x")).status(), "it never ran");
+        for (int i = 0; i < full.size(); i++) {
+          upstream.accept().close();
+        }
+        try (Socket late = upstream.accept()) {
+          Await.until("it is kept", () -> fixture.connections() == 3);
+          second.send(Client.post("publish", "", "x").replace("r1", "r2"));
+          assertEquals("r2", Http.read(late.getInputStream()).headers().get("x-request-id"));
+        }
+      }
+    } finally {
+      for (Socket socket : full) {
+        socket.close();
+      }
+    }
+  }
+
   /** Its attempt has been given up by then: not a byte goes out on it. */
   @Test
   void aConnectionThatComesUpAfterItsClientLeftCarriesNothing() throws Exception {
--- a/src/test/java/meadowtrack/core/RareMomentsTest.java
+++ b/src/test/java/meadowtrack/core/RareMomentsTest.java
@@ -72,6 +72,41 @@
     assertFalse(mayBegin(harness, harness.last()));
   }
 
+  /** Where a part of all connections comes up late, nobody would be left to send to. */
+  @Test
+  void aServerWhoseConnectionsFailAsOftenAsItsPeersStaysInService() {
+    Harness harness = new Harness(Harness.settings(0, Harness.safe("read"))).readyServers(3);
+    for (int i = 0; i < 60; i++) {
+      harness.request(i, "read");
+      Sent attempt = harness.last();
+      harness.advance(50 * MS);
+      harness.outcome(attempt, i % 3 == 0 ? Outcome.CONNECT_FAILED : Outcome.OK, i % 3 != 0);
+      for (Sent retry = harness.last(); retry != attempt; attempt = retry, retry = harness.last()) {
+        harness.advance(50 * MS);
+        harness.outcome(retry, Outcome.OK, true);
+      }
+    }
+    assertEquals(List.of(), harness.refused);
+  }
+
+  @Test
+  void aServerThatCannotBeReachedAtAllIsTakenOut() {
+    Harness harness = new Harness(Harness.settings(0, Harness.safe("read"))).readyServers(3);
+    int toDead = 0;
+    for (int i = 0; i < 60; i++) {
+      harness.request(i, "read");
+      for (int sent = harness.sent.size() - 1; sent < harness.sent.size(); sent++) {
+        Sent attempt = harness.sent.get(sent);
+        boolean dead = attempt.server() == 1;
+        toDead += dead ? 1 : 0;
+        harness.advance(10 * MS);
+        harness.outcome(attempt, dead ? Outcome.CONNECT_FAILED : Outcome.OK, !dead);
+      }
+    }
+    assertEquals(List.of(), harness.refused);
+    assertTrue(toDead < 6, "calls to a server that is not there: " + toDead);
+  }
+
   /** Or each failure would add a call to those of all balancers, and drown discovery with them. */
   @Test
   void aFailedCallIsFollowedByOneCallAtATime() {
