--- a/src/main/java/maplehall/http1/ClientHandler.java
+++ b/src/main/java/maplehall/http1/ClientHandler.java
@@ -3,7 +3,6 @@
 import static java.nio.charset.StandardCharsets.US_ASCII;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -35,7 +34,6 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.util.ArrayDeque;
-import java.util.List;
 import maplehall.border.Answer;
 import maplehall.border.Caller;
 import maplehall.border.Ticket;
@@ -62,8 +60,6 @@
   /** A body up to this size is read without asking; connections are few enough to bear that. */
   static final int FREE_BODY_BYTES = 64 << 10;
 
-  private static final int BLOCK_BYTES = 32 << 10;
-
   /**
    * For the head of a request, from its first byte or from the start of its connection. Guards the
    * descriptor against clients that connect and say nothing, or half a head, and owes them an end
@@ -112,8 +108,6 @@
   /** What each part of a flood counts for beside its body. */
   private static final int FLOOD_PART_BYTES = 64;
 
-  private static final int MOST_ID_LENGTH = 128;
-
   private enum Phase {
     /** No request, or only a part of its head. */
     IDLE,
@@ -146,8 +140,7 @@
   private boolean keepAlive;
   private RequestClass type;
   private long ttlNanos;
-  private CompositeByteBuf body;
-  private ByteBuf tail;
+  private GatheredBody body;
   private long bodyBytes;
   private long reserved;
   private Object waiting;
@@ -316,7 +309,7 @@
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over 40 MiB");
       return;
     }
-    body = channel.alloc().compositeBuffer(2048);
+    body = new GatheredBody(channel.alloc(), HttpUtil.getContentLength(next, -1L));
     if (length > FREE_BODY_BYTES && length <= GATHERED_BYTES) {
       reserve(length);
     } else {
@@ -324,37 +317,12 @@
     }
   }
 
-  /** Says what is wrong with a request's head, or null; sets what was read from it. */
+  /** Reads what a head says; what is wrong with it, or null. */
   private String fault(HttpRequest next) {
-    String framing = HeaderRules.framingFault(next);
-    if (framing != null) {
-      return framing;
-    }
-    if (server.forbidden() != null && next.headers().contains(server.forbidden())) {
-      return server.forbidden() + " is not for clients";
-    }
-    List<String> ids = next.headers().getAll(HeaderRules.REQUEST_ID);
-    if (ids.size() != 1 || !HeaderRules.isToken(ids.get(0), MOST_ID_LENGTH)) {
-      return "one readable " + HeaderRules.REQUEST_ID + " expected";
-    }
-    if (dispatcher.isOpen(ids.get(0))) {
-      return HeaderRules.REQUEST_ID + " of an open request";
-    }
-    type = dispatcher.requestClass(next.headers().get(HeaderRules.CLASS));
-    if (type == null) {
-      return "unknown " + HeaderRules.CLASS;
-    }
-    String deadline = next.headers().get(HeaderRules.DEADLINE);
-    ttlNanos = deadline == null ? type.deadlineNanos() : HeaderRules.parseSeconds(deadline.trim());
-    if (ttlNanos < 0) {
-      return "malformed " + HeaderRules.DEADLINE;
-    }
-    // No client waits longer than its class allows, and nothing is held for it any longer.
-    ttlNanos = Math.min(ttlNanos, type.deadlineNanos());
-    boolean key = next.headers().contains(HeaderRules.IDEMPOTENCY_KEY);
-    return HeaderRules.fits(type, next.method(), key)
-        ? null
-        : "method or key does not fit class " + type.name();
+    RequestHead read = RequestHead.read(next, dispatcher, server.forbidden());
+    type = read.type();
+    ttlNanos = read.ttlNanos();
+    return read.fault();
   }
 
   /**
@@ -367,7 +335,7 @@
       return fault(head);
     }
     boolean open = dispatcher.isOpen(head.headers().get(HeaderRules.REQUEST_ID));
-    return open ? HeaderRules.REQUEST_ID + " of an open request" : null;
+    return open ? RequestHead.openTwice() : null;
   }
 
   private void reserve(long bytes) {
@@ -408,7 +376,7 @@
       return;
     }
     pieceNanos = clock.nowNanos();
-    append(piece);
+    body.append(piece);
     if (content instanceof LastHttpContent) {
       complete();
     } else if (type != null && waiting == null && longBody()) {
@@ -433,11 +401,10 @@
       reject(HttpResponseStatus.BAD_REQUEST, fault);
       return;
     }
-    addTail();
     long held = reserved;
     reserved = 0;
     long length = HttpUtil.getContentLength(head, -1L);
-    upload = new Upload(this, server.budget, length, ttlNanos, body, held);
+    upload = new Upload(this, server.budget, length, ttlNanos, body.take(), held);
     body = null;
     HttpRequest taken = head;
     head = null;
@@ -505,30 +472,6 @@
     return bytes * 1_000_000_000L / LEAST_BYTES_PER_SECOND;
   }
 
-  /**
-   * Pieces are copied into blocks: a short piece would keep the whole buffer it was read into, and
-   * a body of many pieces would be copied together again and again.
-   */
-  private void append(ByteBuf piece) {
-    while (piece.isReadable()) {
-      if (tail == null) {
-        long expected = HttpUtil.getContentLength(head, (long) BLOCK_BYTES) - body.readableBytes();
-        tail = channel.alloc().directBuffer((int) Math.max(64, Math.min(expected, BLOCK_BYTES)));
-      }
-      tail.writeBytes(piece, Math.min(piece.readableBytes(), tail.writableBytes()));
-      if (!tail.isWritable()) {
-        addTail();
-      }
-    }
-  }
-
-  private void addTail() {
-    if (tail != null) {
-      body.addComponent(true, tail);
-      tail = null;
-    }
-  }
-
   private void complete() {
     if (waiting != null) {
       server.budget.giveUp(waiting);
@@ -538,7 +481,6 @@
       server.budget.release(reserved - bodyBytes);
       reserved = bodyBytes;
     }
-    addTail();
     phase = Phase.COMPLETE;
   }
 
@@ -553,7 +495,7 @@
       reject(HttpResponseStatus.BAD_REQUEST, fault);
       return;
     }
-    ByteBuf whole = body;
+    ByteBuf whole = body.take();
     body = null;
     HttpRequest taken = head;
     head = null;
@@ -852,7 +794,6 @@
       waiting = null;
     }
     if (body != null) {
-      addTail();
       body.release();
       body = null;
     }
