--- a/src/main/java/maplehall/http1/UpstreamPool.java
+++ b/src/main/java/maplehall/http1/UpstreamPool.java
@@ -43,7 +43,7 @@
    * answer, and would be taken for that of the next request on its connection. So for a while after
    * any was seen a connection rests before it is used again. Where none is seen nothing waits.
    */
-  static final long REST_NANOS = 50_000_000L;
+  static final long REST_NANOS = 20_000_000L;
 
   private static final long WARY_NANOS = 60_000_000_000L;
 
