--- a/src/test/java/maplehall/platform/ClientGoneTest.java
+++ b/src/test/java/maplehall/platform/ClientGoneTest.java
@@ -34,13 +34,7 @@
     }
   }
 
-  private final BlockingQueue<Peer.Connection> held = new LinkedBlockingQueue<>();
-
-  private Peer.Connection nextHeld() throws InterruptedException {
-    Peer.Connection connection = held.poll(30, TimeUnit.SECONDS);
-    assertNotNull(connection, "the call does not reach the upstream");
-    return connection;
-  }
+  private final HeldCalls held = new HeldCalls();
 
   /** So many calls that are out at once, each from a client of its own. */
   private List<Client> callsOut(Fixture fixture, Peer upstream, int count) throws Exception {
@@ -57,7 +51,7 @@
   /** So that a retry needs no new connection, which would give the close time to be seen. */
   private void keepTwoConnections(Fixture fixture, Peer upstream) throws Exception {
     for (Client warm : callsOut(fixture, upstream, 2)) {
-      nextHeld().answer(200, "", "ok");
+      held.next().answer(200, "", "ok");
       warm.read();
       warm.close();
     }
@@ -65,13 +59,13 @@
 
   @Test
   void aRetryIsNotSent() throws Exception {
-    try (Peer upstream = Peer.replying((connection, request) -> held.add(connection));
+    try (Peer upstream = held.upstream();
         Fixture fixture = new Fixture().upstream(upstream).start();
         Client client = fixture.client()) {
       keepTwoConnections(fixture, upstream);
       client.send(Client.get("/api/x", ""));
       upstream.request();
-      Peer.Connection attempt = nextHeld();
+      Peer.Connection attempt = held.next();
       try (LoopGate gate = fixture.holdLoop()) {
         attempt.answer(500, "", "an error"); // The loop finds this first,
         client.close(); // and only then that there is nobody to try again for.
@@ -82,13 +76,13 @@
 
   @Test
   void aRequestThatWaitsForRoomIsNotSent() throws Exception {
-    try (Peer upstream = Peer.replying((connection, request) -> held.add(connection));
+    try (Peer upstream = held.upstream();
         Fixture fixture = new Fixture().tier(1).upstream(upstream).start();
         Client client = fixture.client()) {
       List<Client> full = callsOut(fixture, upstream, WINDOW);
       client.send(Client.get("/api/x", ""));
       fixture.awaitLive(WINDOW + 1);
-      Peer.Connection room = nextHeld();
+      Peer.Connection room = held.next();
       try (LoopGate gate = fixture.holdLoop()) {
         room.answer(200, "", "ok");
         client.close();
@@ -102,7 +96,7 @@
 
   @Test
   void aRetryBehindAFloodIsNotSent() throws Exception {
-    try (Peer upstream = Peer.replying((connection, request) -> held.add(connection));
+    try (Peer upstream = held.upstream();
         Fixture fixture = new Fixture().upstream(upstream).start();
         Client client = fixture.client()) {
       keepTwoConnections(fixture, upstream);
@@ -114,7 +108,7 @@
       }
       client.send(flood.toString());
       client.close();
-      nextHeld().answer(500, "", "an error");
+      held.next().answer(500, "", "an error");
       assertNothingBefore(fixture, upstream);
     }
   }
--- a/src/test/java/maplehall/platform/ClosingTest.java
+++ b/src/test/java/maplehall/platform/ClosingTest.java
@@ -1,7 +1,6 @@
 package maplehall.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -9,9 +8,7 @@
 import java.net.ConnectException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -29,26 +26,16 @@
 
   @TempDir Path folder;
 
-  private final BlockingQueue<Peer.Connection> held = new LinkedBlockingQueue<>();
-
-  private Peer holding() throws Exception {
-    return Peer.replying((connection, request) -> held.add(connection));
-  }
-
-  private Peer.Connection nextHeld() throws InterruptedException {
-    Peer.Connection connection = held.poll(30, TimeUnit.SECONDS);
-    assertNotNull(connection, "the call does not reach the upstream");
-    return connection;
-  }
+  private final HeldCalls held = new HeldCalls();
 
   /** A close over unread bytes would be a reset, and cut off what the client has not read yet. */
   @Test
   void anAnswerArrivesWholeThoughBytesWaitBehindItsRequest() throws Exception {
-    try (Peer upstream = holding();
+    try (Peer upstream = held.upstream();
         Fixture fixture = new Fixture().upstream(upstream).start();
         Client client = new Client(fixture.address(), SMALL_WINDOW)) {
       client.send(Client.get("/api/x", "Connection: close\r\n"));
-      Peer.Connection call = nextHeld();
+      Peer.Connection call = held.next();
       try (LoopGate gate = fixture.holdLoop()) {
         call.answer(200, "", "x".repeat(ANSWER_BYTES));
         client.send(Client.get("/api/y", "").replace("r1", "r2"));
@@ -97,7 +84,7 @@
 
   @Test
   void aBodyThatComesWholeWhenNothingCanBeAnsweredAnyMoreIsRefusedAtOnce() throws Exception {
-    try (Peer upstream = holding();
+    try (Peer upstream = held.upstream();
         Fixture fixture = new Fixture().upstream(upstream).start();
         Client client = fixture.client()) {
       String request = Client.post("publish", "", "body");
@@ -112,14 +99,14 @@
 
   @Test
   void aRetryThatIsDueDuringTheDrainIsMade() throws Exception {
-    try (Peer upstream = holding();
+    try (Peer upstream = held.upstream();
         Fixture fixture = new Fixture().upstream(upstream).start();
         Client client = fixture.client()) {
       client.send(Client.get("/api/x", ""));
-      Peer.Connection first = nextHeld();
+      Peer.Connection first = held.next();
       CountDownLatch drained = fixture.node().shutdown().drain();
       first.answer(500, "", "an error");
-      nextHeld().answer(200, "", "second");
+      held.next().answer(200, "", "second");
       assertEquals("second", client.read().text());
       assertTrue(drained.await(30, TimeUnit.SECONDS));
     }
@@ -139,11 +126,11 @@
 
   @Test
   void aSecondSignalChangesNothing() throws Exception {
-    try (Peer upstream = holding();
+    try (Peer upstream = held.upstream();
         Fixture fixture = new Fixture().upstream(upstream).start();
         Client client = fixture.client()) {
       client.send(Client.get("/api/x", ""));
-      Peer.Connection call = nextHeld();
+      Peer.Connection call = held.next();
       CountDownLatch drained = fixture.node().shutdown().drain();
       assertEquals(drained, fixture.node().shutdown().drain());
       call.answer(200, "", "ok");
@@ -155,12 +142,12 @@
   @Test
   void aReloadJustBeforeOrAfterTheSignalLosesNothing() throws Exception {
     Path file = folder.resolve("config.json");
-    try (Peer upstream = holding();
+    try (Peer upstream = held.upstream();
         Peer discovery = Peer.replying((connection, request) -> {});
         Fixture fixture = new Fixture().upstream(upstream).file(file).start();
         Client client = fixture.client()) {
       client.send(Client.get("/api/x", ""));
-      Peer.Connection call = nextHeld();
+      Peer.Connection call = held.next();
       fixture.pushed(discovery).file(file);
       fixture.reload().reload();
       CountDownLatch drained = fixture.node().shutdown().drain();
@@ -175,24 +162,24 @@
   /** The second copy comes when the next request is already out on the same connection. */
   @Test
   void aSecondAnswerThatComesLateIsNotTheNextOne() throws Exception {
-    try (Peer upstream = holding();
+    try (Peer upstream = held.upstream();
         Fixture fixture = new Fixture().upstream(upstream).start();
         Client first = fixture.client();
         Client second = fixture.client()) {
       first.send(Client.get("/api/x", ""));
-      Peer.Connection spoilt = nextHeld();
+      Peer.Connection spoilt = held.next();
       spoilt.answer(200, "", "one");
       spoilt.answer(200, "", "one"); // From here on such answers are to be expected.
       assertEquals("one", first.read().text());
 
       first.send(Client.get("/api/x", "").replace("r1", "r2"));
-      Peer.Connection late = nextHeld();
+      Peer.Connection late = held.next();
       try (LoopGate gate = fixture.holdLoop()) {
         late.answer(200, "", "two");
         second.send(Client.get("/api/x", "").replace("r1", "r3"));
       }
       assertEquals("two", first.read().text());
-      Peer.Connection next = nextHeld();
+      Peer.Connection next = held.next();
       late.answer(200, "", "two");
       next.answer(200, "", "three");
       assertEquals("three", second.read().text());
--- a/src/test/java/maplehall/platform/ReleaseTest.java
+++ b/src/test/java/maplehall/platform/ReleaseTest.java
@@ -1,13 +1,9 @@
 package maplehall.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -18,14 +14,14 @@
 class ReleaseTest {
   private static final int FLIGHT = 20;
 
-  private final BlockingQueue<Peer.Connection> held = new LinkedBlockingQueue<>();
+  private final HeldCalls held = new HeldCalls();
   private final List<Client> clients = new ArrayList<>();
   private Peer peer;
   private Fixture fixture;
 
   @BeforeEach
   void start() throws Exception {
-    peer = Peer.replying((connection, request) -> held.add(connection));
+    peer = held.upstream();
     fixture = new Fixture().upstream(peer).start();
   }
 
@@ -45,19 +41,13 @@
     return client;
   }
 
-  private Peer.Connection next() throws Exception {
-    Peer.Connection connection = held.poll(30, TimeUnit.SECONDS);
-    assertNotNull(connection, "the call does not reach the upstream");
-    return connection;
-  }
-
   @Test
   void anUpstreamThatIsNewTakesAFullFlightAtOnce() throws Exception {
     for (int i = 0; i < FLIGHT; i++) {
       send();
     }
     for (int i = 0; i < FLIGHT; i++) {
-      next().answer(200, "", "ok");
+      held.next().answer(200, "", "ok");
     }
     for (Client client : clients) {
       assertEquals(200, client.read().status());
@@ -69,10 +59,10 @@
     List<Peer.Connection> flight = new ArrayList<>();
     for (int i = 0; i < FLIGHT; i++) {
       send();
-      flight.add(next());
+      flight.add(held.next());
     }
     Client refused = send();
-    next().answer(503, "X-Not-Run: 1\r\n", "full");
+    held.next().answer(503, "X-Not-Run: 1\r\n", "full");
     assertEquals(503, refused.read().status());
 
     int home = FLIGHT - 4;
@@ -81,7 +71,7 @@
       assertEquals(200, clients.get(i).read().status());
     }
     Client later = send();
-    next().answer(200, "", "ok");
+    held.next().answer(200, "", "ok");
     assertEquals(200, later.read().status());
   }
 }
--- a/src/test/java/maplehall/platform/ReloadSettingsTest.java
+++ b/src/test/java/maplehall/platform/ReloadSettingsTest.java
@@ -1,16 +1,12 @@
 package maplehall.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -28,7 +24,7 @@
 
   @TempDir Path folder;
 
-  private final BlockingQueue<Peer.Connection> held = new LinkedBlockingQueue<>();
+  private final HeldCalls held = new HeldCalls();
   private final List<Client> clients = new ArrayList<>();
   private Path file;
   private Peer upstream;
@@ -37,7 +33,7 @@
   @BeforeEach
   void put() throws Exception {
     file = folder.resolve("config.json");
-    upstream = Peer.replying((connection, request) -> held.add(connection));
+    upstream = held.upstream();
     fixture = new Fixture().upstream(upstream);
   }
 
@@ -60,12 +56,6 @@
     return client;
   }
 
-  private Peer.Connection nextHeld() throws InterruptedException {
-    Peer.Connection connection = held.poll(30, TimeUnit.SECONDS);
-    assertNotNull(connection, "the call does not reach the upstream");
-    return connection;
-  }
-
   /** The other way round, and in force when this returns. */
   private void reload() throws Exception {
     fixture.classes("view", "non_idempotent", "publish", "read_like").file(file);
@@ -86,10 +76,10 @@
     start();
     Client before = client();
     before.send(get("view", "r1"));
-    Peer.Connection attempt = nextHeld();
+    Peer.Connection attempt = held.next();
     reload();
     attempt.reset();
-    nextHeld().answer(200, "", "second");
+    held.next().answer(200, "", "second");
     assertEquals("second", before.read().text());
   }
 
@@ -98,14 +88,14 @@
     start();
     Client before = client();
     before.send(post("publish", "r1"));
-    Peer.Connection attempt = nextHeld();
+    Peer.Connection attempt = held.next();
     reload();
     attempt.reset();
     assertEquals(502, before.read().status(), "failed: it may have run");
     Client after = client();
     after.send(get("publish", "r2"));
-    nextHeld().reset();
-    nextHeld().answer(200, "", "second");
+    held.next().reset();
+    held.next().answer(200, "", "second");
     assertEquals("second", after.read().text());
     assertTrue(held.isEmpty());
   }
@@ -115,13 +105,13 @@
     start();
     Client before = client();
     before.send(get("view", "r1"));
-    Peer.Connection attempt = nextHeld();
+    Peer.Connection attempt = held.next();
     try (LoopGate gate = fixture.holdLoop()) {
       attempt.reset(); // The end of the first attempt and the reload come in one turn.
       fixture.classes("view", "non_idempotent", "publish", "read_like").file(file);
       fixture.reload().reload();
     }
-    nextHeld().answer(200, "", "second");
+    held.next().answer(200, "", "second");
     assertEquals("second", before.read().text());
   }
 
@@ -132,15 +122,15 @@
     List<Peer.Connection> full = new ArrayList<>();
     for (int i = 0; i < WINDOW; i++) {
       client().send(get("view", "full" + i));
-      full.add(nextHeld());
+      full.add(held.next());
     }
     Client waits = client();
     waits.send(get("view", "r1"));
     fixture.awaitLive(WINDOW + 1);
     reload();
     full.get(0).answer(200, "", "room");
-    nextHeld().reset();
-    nextHeld().answer(200, "", "served");
+    held.next().reset();
+    held.next().answer(200, "", "served");
     assertEquals("served", waits.read().text());
   }
 
@@ -165,7 +155,7 @@
     assertEquals(400, client().call(get("view", "r1")).status());
     Client after = client();
     after.send(post("view", "r2"));
-    nextHeld().reset();
+    held.next().reset();
     assertEquals(502, after.read().status(), "failed: it may have run");
   }
 
@@ -184,7 +174,7 @@
       fixture.node().loop().submit(() -> {}).sync();
       Client client = client();
       client.send(get("view", "r1"));
-      nextHeld().answer(200, "", "ok");
+      held.next().answer(200, "", "ok");
       assertEquals("ok", client.read().text());
     }
   }
--- a/src/test/java/maplehall/platform/UpstreamCrossingTest.java
+++ b/src/test/java/maplehall/platform/UpstreamCrossingTest.java
@@ -1,7 +1,6 @@
 package maplehall.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetAddress;
@@ -10,10 +9,7 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -56,15 +52,9 @@
     abstract void on(Peer.Connection connection) throws Exception;
   }
 
-  private final BlockingQueue<Peer.Connection> held = new LinkedBlockingQueue<>();
+  private final HeldCalls held = new HeldCalls();
   private final CountDownLatch over = new CountDownLatch(1);
 
-  private Peer.Connection nextHeld() throws InterruptedException {
-    Peer.Connection connection = held.poll(30, TimeUnit.SECONDS);
-    assertNotNull(connection, "the call does not reach the upstream");
-    return connection;
-  }
-
   /** Takes one request and reads no more: a thread inside a read would put off the close. */
   private void takeOne(Peer.Connection connection) throws Exception {
     Http.read(connection.in());
@@ -85,7 +75,7 @@
         Fixture fixture = new Fixture().upstream(upstream).start();
         Client client = fixture.client()) {
       client.send(Client.get("/api/x", ""));
-      Peer.Connection idle = nextHeld();
+      Peer.Connection idle = held.next();
       idle.answer(200, "", "first");
       assertEquals("first", client.read().text());
       try (LoopGate gate = fixture.holdLoop()) {
@@ -93,7 +83,7 @@
             Client.post("publish", "", "x").replace("r1", "r2")); // The loop finds this first.
         ending.on(idle);
       }
-      Peer.Connection other = nextHeld();
+      Peer.Connection other = held.next();
       assertTrue(other.number() != idle.number(), "on a connection of its own");
       other.answer(200, "", "second");
       assertEquals("second", client.read().text());
@@ -103,11 +93,11 @@
   /** It may have run, whatever came of it. */
   @Test
   void aResetAfterTheLastByteOfAnUnsafeRequestIsAFailure() throws Exception {
-    try (Peer upstream = Peer.replying((connection, request) -> held.add(connection));
+    try (Peer upstream = held.upstream();
         Fixture fixture = new Fixture().upstream(upstream).start();
         Client client = fixture.client()) {
       client.send(Client.post("publish", "", "x"));
-      nextHeld().reset();
+      held.next().reset();
       assertEquals(502, client.read().status());
       assertTrue(held.isEmpty(), "and it is not sent again");
     }
