--- a/src/test/java/meadowtrack/core/RareMomentsTest.java
+++ b/src/test/java/meadowtrack/core/RareMomentsTest.java
@@ -72,6 +72,43 @@
     assertFalse(mayBegin(harness, harness.last()));
   }
 
+  /** Where a part of all connections comes up late, nobody would be left to send to. */
+  @Test
+  void aServerWhoseConnectionsFailAsOftenAsItsPeersStaysInService() {
+    Harness harness = new Harness(Harness.settings(0, Harness.safe("read"))).readyServers(2);
+    int attempts = 0;
+    int next = 0;
+    for (int round = 0; round < 40; round++) {
+      for (int call = 0; call < 8; call++) {
+        harness.request(8 * round + call, "read");
+      }
+      harness.advance(50 * MS);
+      for (; next < harness.sent.size(); next++) {
+        boolean late = ++attempts % 3 == 0;
+        harness.outcome(harness.sent.get(next), late ? Outcome.CONNECT_FAILED : Outcome.OK, !late);
+      }
+    }
+    assertEquals(List.of(), harness.refused);
+  }
+
+  @Test
+  void aServerThatCannotBeReachedAtAllIsTakenOut() {
+    Harness harness = new Harness(Harness.settings(0, Harness.safe("read"))).readyServers(3);
+    int toDead = 0;
+    for (int i = 0; i < 60; i++) {
+      harness.request(i, "read");
+      for (int sent = harness.sent.size() - 1; sent < harness.sent.size(); sent++) {
+        Sent attempt = harness.sent.get(sent);
+        boolean dead = attempt.server() == 1;
+        toDead += dead ? 1 : 0;
+        harness.advance(10 * MS);
+        harness.outcome(attempt, dead ? Outcome.CONNECT_FAILED : Outcome.OK, !dead);
+      }
+    }
+    assertEquals(List.of(), harness.refused);
+    assertTrue(toDead < 6, "calls to a server that is not there: " + toDead);
+  }
+
   /** Or each failure would add a call to those of all balancers, and drown discovery with them. */
   @Test
   void aFailedCallIsFollowedByOneCallAtATime() {
