--- a/src/main/java/maplehall/dispatch/Dispatcher.java
+++ b/src/main/java/maplehall/dispatch/Dispatcher.java
@@ -86,6 +86,7 @@
   private Elsewhere elsewhere;
 
   private boolean inEvent;
+  private boolean ending;
   private long nextRequestId = 1;
   private long nextUpstreamId = 1;
 
@@ -244,6 +245,10 @@
     client.taken(request);
     counters.requests++;
     request.deadline = loop.schedule(() -> onDeadline(request), ttlNanos, NANOSECONDS);
+    if (ending) {
+      turnAway(request);
+      return;
+    }
     event(
         request,
         () -> {
@@ -263,9 +268,21 @@
     }
   }
 
+  /**
+   * The one place that says whether an attempt may begin, asked right before its first byte. A
+   * connection that took its time may come up after the client has gone, after its upstream has
+   * been told to drain or after the time in which a keyed request may be repeated.
+   */
   @Override
-  public boolean mayBegin() {
-    return gate == null || gate.open();
+  public boolean mayBegin(LiveRequest.Attempt attempt) {
+    LiveRequest request = attempt.request;
+    return (gate == null || gate.open())
+        && attempt.open
+        && !request.over
+        && clock.nowNanos() < request.deadlineNanos
+        && request.client.stillWaits()
+        && attempt.open
+        && (attempt.away || balancer.mayBegin(clock.nowNanos(), request.id, attempt.number));
   }
 
   private void timeOut(LiveRequest.Attempt attempt) {
@@ -294,8 +311,12 @@
     }
   }
 
-  /** No time is left for any decision: the process is about to be killed. */
+  /**
+   * No time is left for any decision: the process is about to be killed. What is taken from now on,
+   * a body that was long in coming say, is turned away at once, as nothing of it has run.
+   */
   public void failAll() {
+    ending = true;
     for (LiveRequest request : List.copyOf(requests.values())) {
       abort(request);
     }
@@ -589,7 +610,7 @@
         || now >= request.deadlineNanos
         || attempt.number >= settings.limits().mostTries()
         || !request.payload.repeatable()
-        || !mayBegin()
+        || !mayBegin(attempt)
         || !request.payload.start(attempt)) {
       upstream.attempts++; // Taken back with the outcome, like that of any attempt.
       ended(attempt, Outcome.MOOT, null);
--- a/src/main/java/maplehall/http1/ClientHandler.java
+++ b/src/main/java/maplehall/http1/ClientHandler.java
@@ -91,6 +91,9 @@
   /** From the last answer to its close: time for the client to read it. */
   private static final long LINGER_NANOS = 500_000_000L;
 
+  /** The same for a connection that was closed between requests: nothing is owed on it. */
+  private static final long LINGER_IDLE_NANOS = 200_000_000L;
+
   /** What is read and thrown away of a request that has been turned away. */
   private static final long MOST_LINGER_BYTES = 1L << 20;
 
@@ -106,6 +109,9 @@
    */
   static final int MOST_PIPELINED = 8;
 
+  /** What each part of a flood counts for beside its body. */
+  private static final int FLOOD_PART_BYTES = 64;
+
   private static final int MOST_ID_LENGTH = 128;
 
   private enum Phase {
@@ -143,7 +149,18 @@
   private Object waiting;
   private Ticket request;
   private boolean replaying;
+
+  /**
+   * Whether bytes of this very connection are being decoded, in the middle of which none are read.
+   */
+  private boolean decoding;
+
   private boolean flooded;
+  private long floodBytes;
+
+  /** The end of a long body, kept until it is known that its client has stayed. */
+  private ByteBuf uploadEnd;
+
   private boolean asked;
   private int readsBefore;
   private long lingerBytes;
@@ -179,9 +196,10 @@
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
+    decoding = true;
     HttpObject part = (HttpObject) message;
     if (flooded) {
-      ReferenceCountUtil.release(part);
+      dropFlood(part);
     } else if (phase == Phase.COMPLETE || phase == Phase.TAKEN || !pipelined.isEmpty()) {
       // The next request before this one is answered. Reading goes on, within limits, because only
       // reading shows that a client has gone.
@@ -190,13 +208,40 @@
         flooded = true;
         keepAlive = false;
         dropPipelined();
-        channel.config().setAutoRead(false);
       }
     } else {
       read(part);
     }
   }
 
+  /** Goes on reading for a while, as the client's end may follow; a flood without end is left. */
+  private void dropFlood(HttpObject part) {
+    if (part instanceof HttpContent content) {
+      floodBytes += content.content().readableBytes();
+    }
+    floodBytes += FLOOD_PART_BYTES;
+    ReferenceCountUtil.release(part);
+    if (floodBytes > MOST_LINGER_BYTES) {
+      channel.config().setAutoRead(false);
+    }
+  }
+
+  /**
+   * Reads what has come, unless that is going on: only reading shows that a client has closed its
+   * connection, and while the loop was held up or reading paused that may have been long ago.
+   */
+  @Override
+  public boolean stillWaits() {
+    if (!decoding && channel.isActive()) {
+      ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+    }
+    if (!channel.isActive()) {
+      end(); // The channel tells of its end on a later turn of the loop only.
+      return false;
+    }
+    return true;
+  }
+
   private void read(HttpObject part) {
     try {
       if (phase == Phase.LINGER) {
@@ -389,15 +434,30 @@
       channel.close(); // In chunks without end; nothing has run, as its last byte never came.
       return;
     }
-    Upload to = upload;
-    if (last) {
-      phase = Phase.TAKEN;
-      sinceNanos = pieceNanos;
-      if (request != null) {
-        request.whole(ttlNanos);
-      }
+    if (!last) {
+      upload.add(content.content().retain(), false);
+      return;
+    }
+    phase = Phase.TAKEN;
+    sinceNanos = pieceNanos;
+    if (request != null) {
+      request.whole(ttlNanos);
+    }
+    uploadEnd = content.content().retain();
+  }
+
+  /**
+   * The last piece makes the request run. It goes on once what came behind it has been read too: a
+   * client that had sent everything and left may lie behind a body whose reading was paused.
+   */
+  private void passUploadEnd() {
+    ByteBuf end = uploadEnd;
+    uploadEnd = null;
+    if (stillWaits() && upload != null) {
+      upload.add(end, true);
+    } else {
+      end.release();
     }
-    to.add(content.content().retain(), last);
   }
 
   /** The upstream of a long body takes no more for now, or takes more again. */
@@ -645,7 +705,7 @@
     if (!keep) {
       phase = Phase.LINGER;
       dropPipelined();
-      written.addListener(ChannelFutureListener.CLOSE);
+      lingerAfter(written);
       return;
     }
     phase = Phase.IDLE;
@@ -659,9 +719,19 @@
     phase = Phase.LINGER;
     lingerNanos = LINGER_UPLOAD_NANOS;
     upload.release();
+    lingerAfter(written);
+  }
+
+  /**
+   * The one way in which an answered connection ends: its sending is shut, and what still comes is
+   * read and thrown away until the client closes too, or for a while. A close over unread bytes is
+   * a reset, which takes along what the client has not read of its answer.
+   */
+  private void lingerAfter(ChannelFuture written) {
     written.addListener(
         done -> {
           if (channel instanceof SocketChannel socket) {
+            channel.config().setAutoRead(true);
             socket.shutdownOutput();
           }
         });
@@ -673,8 +743,12 @@
       return;
     }
     replaying = true;
-    while (!pipelined.isEmpty() && (phase == Phase.IDLE || phase == Phase.BODY)) {
+    while (!pipelined.isEmpty()
+        && (phase == Phase.IDLE || phase == Phase.BODY || phase == Phase.UPLOAD)) {
       read(pipelined.poll());
+      if (uploadEnd != null) {
+        passUploadEnd();
+      }
       if (phase == Phase.COMPLETE) {
         take();
       }
@@ -695,22 +769,17 @@
     server.becameBusy(this);
     dropBody();
     dropPipelined();
-    channel.config().setAutoRead(true);
-    // Closed at once with unread bytes, the connection would be reset and the answer lost.
-    channel
-        .writeAndFlush(answer)
-        .addListener(
-            done -> {
-              if (channel instanceof SocketChannel socket) {
-                socket.shutdownOutput();
-              }
-            });
+    lingerAfter(channel.writeAndFlush(answer));
   }
 
   // ---- the end ----
 
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
+    decoding = false;
+    if (uploadEnd != null) {
+      passUploadEnd();
+    }
     if (phase == Phase.COMPLETE && !replaying) {
       take();
     }
@@ -723,9 +792,18 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
+    end();
+  }
+
+  /** The one place that says that the client has gone; may be told more than once. */
+  private void end() {
     phase = Phase.LINGER;
     dropBody();
     dropPipelined();
+    if (uploadEnd != null) {
+      uploadEnd.release();
+      uploadEnd = null;
+    }
     if (passing != null) {
       AnswerSource source = passing;
       passing = null;
@@ -776,20 +854,36 @@
   }
 
   /**
-   * Closes a connection between requests; false if a request turns out to be on it. The socket is
-   * read first: one that has come but has not been read would be lost with the connection.
+   * Closes a connection between requests at once, for its descriptor; false if a request turns out
+   * to be on it. The socket is read first: one that has come but has not been read would be lost
+   * with the connection.
    */
-  public boolean closeIdle() {
-    if (phase == Phase.IDLE && channel.isActive()) {
-      ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
-    }
-    if (phase != Phase.IDLE && phase != Phase.LINGER || headSinceNanos > 0) {
+  public boolean evict() {
+    if (!atRest()) {
       return false;
     }
     channel.close();
     return true;
   }
 
+  /** Ends a connection between requests; what crosses the end is read, and never sent on. */
+  public void closeIdle() {
+    if (phase == Phase.IDLE && atRest()) {
+      phase = Phase.LINGER;
+      sinceNanos = clock.nowNanos();
+      lingerNanos = LINGER_IDLE_NANOS;
+      server.leaves(this);
+      lingerAfter(channel.newSucceededFuture());
+    }
+  }
+
+  private boolean atRest() {
+    if (phase == Phase.IDLE && channel.isActive()) {
+      ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+    }
+    return (phase == Phase.IDLE || phase == Phase.LINGER) && headSinceNanos == 0;
+  }
+
   /** Whether a request has ever begun on the connection. */
   public boolean asked() {
     return asked;
