--- a/src/test/java/maplehall/platform/Fixture.java
+++ b/src/test/java/maplehall/platform/Fixture.java
@@ -16,6 +16,7 @@
   static final long MS = 1_000_000L;
 
   private final Map<String, Object> limits = new LinkedHashMap<>();
+  private final Map<String, String> classes = new LinkedHashMap<>();
   private final List<Object> members = new ArrayList<>();
   private String discovery = "127.0.0.1:1";
   private boolean ask;
@@ -30,6 +31,7 @@
   private Node node;
 
   Fixture() {
+    classes("view", "read_like", "keyed", "idempotency_key", "publish", "non_idempotent");
     limits.put("most_tries", 4);
     limits.put("may_duplicate", true);
     limits.put("cancelling", true);
@@ -103,7 +105,11 @@
   }
 
   Fixture pushed(Peer peer) {
-    discovery = peer.address();
+    return pushedAt(peer.address());
+  }
+
+  Fixture pushedAt(String address) {
+    discovery = address;
     return this;
   }
 
@@ -127,6 +133,15 @@
     return this;
   }
 
+  /** Classes of these names and effects in place of the usual three. */
+  Fixture classes(String... namesAndEffects) {
+    classes.clear();
+    for (int i = 0; i < namesAndEffects.length; i += 2) {
+      classes.put(namesAndEffects[i], namesAndEffects[i + 1]);
+    }
+    return this;
+  }
+
   private Map<String, Object> type(String name, String effect) {
     return Map.of(
         "name",
@@ -149,10 +164,7 @@
     Map<String, Object> settings = new LinkedHashMap<>();
     settings.put(
         "classes",
-        List.of(
-            type("view", "read_like"),
-            type("keyed", "idempotency_key"),
-            type("publish", "non_idempotent")));
+        classes.entrySet().stream().map(each -> type(each.getKey(), each.getValue())).toList());
     settings.put("limits", limits);
     settings.put("membership_mode", ask ? "subscribe" : "automatic");
     settings.put("zone", "a");
@@ -222,6 +234,19 @@
                 == requests);
   }
 
+  /** Whether the upstream of this name is on the list that the balancer goes by. */
+  boolean knows(String name) {
+    return node.loop()
+        .submit(() -> node.dispatcher().loads(Integer.MAX_VALUE).containsKey(name))
+        .syncUninterruptibly()
+        .getNow();
+  }
+
+  /** Connections of clients and to upstreams that the balancer counts. */
+  int connections() {
+    return node.loop().submit(() -> node.budget().connections()).syncUninterruptibly().getNow();
+  }
+
   /** One call to the second address: the status. */
   int call(String method, String path) throws Exception {
     try (Client client = new Client(balancer.operations().address())) {
