Do not listen at all where the drain began before the start

ClosingTest.aDrainBeforeTheStartTakesNobody failed once in a whole verify: a connection to the closing listener was made. The address was bound and the listener closed again on the loop; the JDK gives the descriptor back only at the selector's next turn, so that a client could still connect, and was reset (ClientServer.listening). A server that was stopped before is no longer bound; the test wants that, in place of a refused connection.

--- a/src/main/java/maplehall/http1/ClientServer.java
+++ b/src/main/java/maplehall/http1/ClientServer.java
@@ -49,7 +49,9 @@
   private Channel listener;
   private boolean draining;
   private boolean closing;
-  private boolean stopped;
+
+  /** Set on the loop; read by the thread that starts, too. */
+  private volatile boolean stopped;
 
   /** A header that no client may send, or null. */
   private String forbidden;
@@ -61,7 +63,9 @@
   }
 
   /**
-   * Listens; fails if the address cannot be had. Must not be called on the loop.
+   * Listens; fails if the address cannot be had. A server that was stopped before does not listen
+   * at all: a connection that is made to a listener while it closes would be reset. Must not be
+   * called on the loop.
    *
    * @param shared whether another process may listen at the same address, and each gets a part of
    *     the connections (SO_REUSEPORT)
@@ -71,6 +75,9 @@
       throws InterruptedException {
     this.dispatcher = dispatcher;
     this.pool = pool;
+    if (stopped) {
+      return;
+    }
     ServerBootstrap bootstrap =
         Listeners.on(loop, this::accepted)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
@@ -84,7 +91,7 @@
     loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, MILLISECONDS);
   }
 
-  /** A process that was told to end while it started takes nobody. */
+  /** Told to end while the address was bound: nobody is taken. */
   private void listening(Channel bound) {
     listener = bound;
     if (stopped) {
@@ -92,8 +99,9 @@
     }
   }
 
+  /** Where clients connect; null where the process was told to end before it listened. */
   public InetSocketAddress address() {
-    return (InetSocketAddress) listener.localAddress();
+    return listener == null ? null : (InetSocketAddress) listener.localAddress();
   }
 
   /** A header that no client may send; before the start. */
--- a/src/main/java/maplehall/node/Node.java
+++ b/src/main/java/maplehall/node/Node.java
@@ -83,6 +83,7 @@
     shutdown.reload(to);
   }
 
+  /** Where clients connect; null where the process was told to end before it listened. */
   public InetSocketAddress address() {
     return server.address();
   }
