--- a/src/main/java/meadowtrack/core/Balancer.java
+++ b/src/main/java/meadowtrack/core/Balancer.java
@@ -187,9 +187,8 @@
     request.over = true;
     entry.onEnd(nowNanos, request, request.tries > 0);
     request.waiting = false;
-    for (int i = 0;
-        request.rules.limits.mayCancel() && i < request.tries && request.open > 0;
-        i++) {
+    int cancellable = request.rules.limits.mayCancel() ? request.tries : 0;
+    for (int i = 0; i < cancellable; i++) {
       if (request.attempts[i].open) {
         actions.cancel(request.id, i);
       }
@@ -304,13 +303,10 @@
     }
     boolean ran = request.binding() != null;
     long left = request.deadlineNanos - nowNanos;
-    if (left < request.classDelay() || (ran && retryTokens < 1)) {
-      giveUp(request, nowNanos);
-      return;
-    }
-    if (trySend(request, nowNanos)) {
+    boolean hopeless = left < request.classDelay() || (ran && retryTokens < 1);
+    if (!hopeless && trySend(request, nowNanos)) {
       retryTokens -= ran ? 1 : 0;
-    } else if (ran || request.tries >= request.rules.limits.mostTries()) {
+    } else if (hopeless || ran || request.tries >= request.rules.limits.mostTries()) {
       giveUp(request, nowNanos);
     } else {
       noRoom(request, nowNanos);
@@ -320,13 +316,10 @@
   private void serveWaiting(long nowNanos) {
     while (!waiting.isEmpty()) {
       Request head = waiting.peek();
-      if (head.over || !head.waiting) {
-        waiting.poll();
-      } else if (trySend(head, nowNanos)) {
-        waiting.poll();
-      } else {
+      if (!head.over && head.waiting && !trySend(head, nowNanos)) {
         return;
       }
+      waiting.poll();
     }
   }
 
--- a/src/main/java/meadowtrack/core/Membership.java
+++ b/src/main/java/meadowtrack/core/Membership.java
@@ -155,12 +155,10 @@
       server.failures = 0;
       server.restUntilNanos = nowNanos;
     }
-    if (server.health != Health.READY) {
-      return;
-    }
-    if (coldNow(server, nowNanos)) {
+    boolean serves = server.health == Health.READY;
+    if (serves && coldNow(server, nowNanos)) {
       cold.add(server);
-    } else {
+    } else if (serves) {
       setOf(server).add(server);
     }
   }
--- a/src/main/java/meadowtrack/core/Request.java
+++ b/src/main/java/meadowtrack/core/Request.java
@@ -87,9 +87,11 @@
   /** The same for the attempt of this number. */
   boolean maySend(int number, Server server, long nowNanos) {
     Attempt binding = type.effect() == RequestClass.Effect.SAFE ? null : binding(number);
-    if ((server.speaks & form.protocol()) == 0 || binding == null) {
-      return (server.speaks & form.protocol()) != 0;
-    }
+    boolean speaks = (server.speaks & form.protocol()) != 0;
+    return speaks && (binding == null || mayRepeat(binding, server, nowNanos));
+  }
+
+  private boolean mayRepeat(Attempt binding, Server server, long nowNanos) {
     return type.effect() == RequestClass.Effect.KEYED
         && nowNanos - binding.sentNanos < type.windowNanos()
         && inGroup(binding.server, server);
