The entry's delay is that of the calls in flight, by Little's law

Cause: EntryWindow.onEnd took its delay from calls that are over, by number.

Now: the integral of calls in flight over the calls that end, over half a second (W = L / lambda), in parts of their classes' aims; a cut also wants the call that ends to have taken half of what may be taken, as the first of many that came at once after a pause has all their time behind it.

EntryWindowTest.steady gave calls that began after others had ended earlier times than those; with calls in order its cases hold as before, and five new ones want the jam seen before its calls end and the window open after it.

--- a/src/main/java/meadowtrack/core/Balancer.java
+++ b/src/main/java/meadowtrack/core/Balancer.java
@@ -98,7 +98,7 @@
     Request request = new Request(id, rules, type, form, nowNanos, ttl);
     requests.put(id, request);
     retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
-    entry.onStart();
+    entry.onStart(nowNanos, request);
     if (rules.settings.tier() == 0 && !admitted(request, rules.tenant(tenant), nowNanos)) {
       giveUp(request, nowNanos);
     } else if (!trySend(request, nowNanos)) {
@@ -238,9 +238,8 @@
   }
 
   private void send(Request request, Server server, long nowNanos) {
-    long patience = (long) (OVERDUE * request.classDelay());
-    Request.Attempt attempt =
-        new Request.Attempt(request, server, request.tries, nowNanos, nowNanos + patience);
+    long due = nowNanos + (long) (OVERDUE * request.classDelay());
+    Request.Attempt attempt = new Request.Attempt(request, server, request.tries, nowNanos, due);
     request.add(attempt);
     request.waiting = false;
     server.onSend(attempt);
@@ -352,18 +351,14 @@
       }
       watched.poll();
     }
-    if (next != Long.MAX_VALUE) {
-      setSweep(nowNanos, next);
-    }
+    setSweep(nowNanos, next);
   }
 
   private boolean settled(Request request, long nowNanos) {
-    boolean waits = request.waiting && !request.over;
-    if (waits && request.waitUntilNanos <= nowNanos) {
+    if (request.waiting && request.waitUntilNanos <= nowNanos) {
       giveUp(request, nowNanos);
-      return true;
     }
-    return !waits;
+    return !request.waiting;
   }
 
   /** A second copy of an overdue call, where its class allows one and the budget lasts. */
@@ -399,7 +394,6 @@
   // ---- judging servers ----
 
   private void judge(long nowNanos, Request.Attempt attempt, Outcome outcome, long tookNanos) {
-    Server server = attempt.server;
     if (attempt.begun && outcome == Outcome.OK) {
       return; // Told when it began; since then it has gone on at its caller's pace.
     }
@@ -409,7 +403,7 @@
       case ERROR, RESET, CONNECT_FAILED -> errored(nowNanos, attempt, outcome);
       case REFUSED -> retire(nowNanos, attempt);
       case TIMEOUT -> {
-        if (server.heardNanos < attempt.sentNanos) {
+        if (attempt.server.heardNanos < attempt.sentNanos) {
           retire(nowNanos, attempt);
         }
       }
--- a/src/test/java/meadowtrack/core/EntryWindowTest.java
+++ b/src/test/java/meadowtrack/core/EntryWindowTest.java
@@ -15,43 +15,106 @@
   private final ArrayDeque<Request> out = new ArrayDeque<>();
 
   private void start(long now) {
-    window.onStart();
-    out.add(
-        new Request(
-            1,
-            new RuleSet(Harness.settings(0, Harness.safe("read")), null),
-            "read",
-            Form.HTTP1,
-            now,
-            4 * SECOND));
+    Request request = request(now);
+    window.onStart(now, request);
+    out.add(request);
+  }
+
+  private static Request request(long now) {
+    RuleSet rules = new RuleSet(Harness.settings(0, Harness.safe("read")), null);
+    return new Request(1, rules, "read", Form.HTTP1, now, 4 * SECOND);
   }
 
   private void end(long now) {
     window.onEnd(now, out.poll(), true);
   }
 
-  private void steady(int calls, int parallel, long tookNanos) {
-    for (int i = 0; i < calls; i++) {
-      start(i * 10 * MS);
-      if (out.size() >= parallel) {
-        end(i * 10 * MS + tookNanos);
+  /** So many in flight at any time, each of which takes so long; from a time on, until another. */
+  private void steady(long from, long until, int parallel, long tookNanos) {
+    long step = tookNanos / parallel;
+    for (long now = from; now < until; now += step) {
+      start(now);
+      if (out.size() > parallel) {
+        end(now);
       }
     }
   }
 
   @Test
   void shortDelaysNeverCut() {
-    steady(500, 10, 200 * MS);
+    steady(0, 10 * SECOND, 10, 200 * MS);
     assertTrue(window.window >= EntryWindow.START);
   }
 
   @Test
   void delaysNearTheAimCutToAPartOfWhatIsInFlight() {
-    steady(200, 20, 1500 * MS);
+    steady(0, 5 * SECOND, 20, 1500 * MS);
     assertTrue(window.window < 20, "window " + window.window);
     assertTrue(window.window >= EntryWindow.LEAST);
   }
 
+  /** Rates of one call in some seconds: what one call takes is then all that is known. */
+  @Test
+  void fewCallsThatAreInTimeNeverCut() {
+    for (long now = 0; now < 100 * SECOND; now += 3 * SECOND) {
+      start(now);
+      end(now + 700 * MS);
+      assertEquals(EntryWindow.START, window.window);
+    }
+  }
+
+  @Test
+  void fewCallsThatAreLateCut() {
+    for (long now = 0; now < 30 * SECOND; now += 3 * SECOND) {
+      start(now);
+      end(now + 900 * MS);
+    }
+    assertTrue(window.window < EntryWindow.START);
+  }
+
+  /** Nothing was known before they came, and each is soon over. */
+  @Test
+  void manyCallsAtOnceAfterAPauseDoNotCut() {
+    for (long from = 0; from < 60 * SECOND; from += 20 * SECOND) {
+      for (int i = 0; i < 40; i++) {
+        start(from + i * MS);
+      }
+      while (!out.isEmpty()) {
+        end(from + (300 - out.size()) * MS);
+      }
+    }
+    assertTrue(window.window >= EntryWindow.START);
+  }
+
+  /** The servers take five times as long: a cut must not wait for calls that have taken it. */
+  @Test
+  void aJamIsSeenBeforeTheCallsThatMakeItEnd() {
+    steady(0, 4 * SECOND, 10, 200 * MS);
+    double before = window.window;
+    int arrivals = 0;
+    long now = 4 * SECOND;
+    for (; window.window >= before; now += 20 * MS) {
+      assertTrue(now - out.peek().arrivedNanos < 800 * MS, "a call has taken 0.8 of its aim");
+      start(now);
+      if (++arrivals % 5 == 0) {
+        end(now);
+      }
+    }
+    assertTrue(now < 5 * SECOND, "cut at " + now);
+  }
+
+  /** What the calls of a jam took is no measure of those that come after it. */
+  @Test
+  void theWindowOpensAsSoonAsCallsEndInTimeAgain() {
+    steady(0, 5 * SECOND, 20, 1500 * MS);
+    while (!out.isEmpty()) {
+      end(5 * SECOND);
+    }
+    assertTrue(window.window < 20, "cut to " + window.window);
+    steady(5 * SECOND, 7 * SECOND, 10, 200 * MS);
+    assertTrue(window.window > 20, "grown to " + window.window);
+  }
+
   @Test
   void callsSentBeforeTheCutDoNotCutAgain() {
     for (int i = 0; i < 100; i++) {
@@ -70,7 +133,7 @@
   @Test
   void whatIsWorthMostFindsRoomWhereTheLeastDoesNot() {
     for (int i = 0; i < EntryWindow.START + 1; i++) {
-      window.onStart();
+      window.onStart(0, request(0));
     }
     assertTrue(window.hasRoom(1));
     assertFalse(window.hasRoom(0));
