Explorer: callers that left unseen, and a reload; gateway asks whether a client still waits

The explorer had no step for a close that nobody has read yet, nor for other settings. Dispatcher.sentAway now asks stillWaits before it chooses a place: without that line the explorer finds SENT_AFTER_LEAVING.

Four new mutants (mayBegin and sentAway without stillWaits, reload ignored, OK told twice); the texts of four others follow the code.

--- a/src/main/java/loadrig/explore/Mutants.java
+++ b/src/main/java/loadrig/explore/Mutants.java
@@ -33,8 +33,8 @@
                   + "    event(request"),
           new Mutant(
               DISPATCHER,
-              "    if (request.over) {\n      release(answer);\n    } else if (outcome",
-              "    if (request.over) {\n    } else if (outcome"),
+              "    if (request.over) {\n      release(answer);\n    } else if (serves",
+              "    if (request.over) {\n    } else if (serves"),
           new Mutant(
               DISPATCHER,
               "      counters.gone++;\n      answered(request);\n",
@@ -61,14 +61,18 @@
               DISPATCHER, "outcome == Outcome.RESET && safe(request)", "outcome == Outcome.RESET"),
           new Mutant(DISPATCHER, "    request.openAttempts--;\n    elsewhere", "    elsewhere"),
           new Mutant(DISPATCHER, "    request.awayTries++;\n", ""),
-          new Mutant(DISPATCHER, "Outcome.OK && !attempt.begun)", "Outcome.OK)"),
+          new Mutant(
+              DISPATCHER, "outcome == Outcome.OK && !request.over;", "outcome == Outcome.OK;"),
           new Mutant(
               DISPATCHER,
               "sentAway(request)) {\n      balancer.onGone(clock.nowNanos(), request.id);",
               "sentAway(request)) {"),
+          new Mutant(DISPATCHER, "        && request.client.stillWaits()\n", ""),
+          new Mutant(DISPATCHER, "if (!request.client.stillWaits()) {", "if (false) {"),
           new Mutant(LIVE, "      lastError.release();\n", ""),
           new Mutant(LIVE, "    lastError = null;\n", ""),
           new Mutant(LIVE, "return over && openAttempts == 0;", "return over;"),
+          new Mutant(BALANCER, "    rules = new RuleSet(settings, rules);\n", ""),
           new Mutant(BALANCER, "    attempt.server.onEnd(attempt);\n", ""),
           new Mutant(BALANCER, "attempt.mayHaveRun = !outcome.neverRan();", ""),
           new Mutant(BALANCER, "    entry.onEnd(nowNanos, request, request.tries > 0);\n", ""),
@@ -77,7 +81,7 @@
           new Mutant(BALANCER, "      requests.remove(request.id);\n", ""),
           new Mutant(BALANCER, "if (request.mayRefuse()) {", "if (true) {"),
           new Mutant(BALANCER, "        && request.form.copies()\n", ""),
-          new Mutant(REQUEST, "|| binding == null) {", "|| true) {"),
+          new Mutant(REQUEST, "(binding == null || mayRepeat", "(true || mayRepeat"),
           new Mutant(REQUEST, "inGroup(binding.server, server);", "true;"),
           new Mutant(REQUEST, "nowNanos - binding.sentNanos < type.windowNanos()\n        && ", ""),
           new Mutant(
@@ -85,10 +89,9 @@
           new Mutant(REQUEST, "        || binding() == null;", "        || true;"),
           new Mutant(SERVER, "    inFlight--;\n", ""),
           new Mutant(SERVER, "    inFlight++;\n", ""),
-          new Mutant(
-              MEMBERSHIP, "    if (server.health != Health.READY) {\n      return;\n    }\n", ""),
+          new Mutant(MEMBERSHIP, "serves = server.health == Health.READY;", "serves = true;"),
           new Mutant(MEMBERSHIP, "      setOf(server).remove(server);\n", ""),
-          new Mutant(ENTRY, "    inFlight--;\n", ""));
+          new Mutant(ENTRY, "load = --inFlight == 0", "load = inFlight == 0"));
 
   private Mutants() {}
 }
--- a/src/main/java/loadrig/explore/Property.java
+++ b/src/main/java/loadrig/explore/Property.java
@@ -20,6 +20,8 @@
   SENT_BESIDE,
   /** Nothing new is sent after the final answer. */
   SENT_AFTER_ANSWER,
+  /** Nothing new is sent for a caller that has left, though that was not read before. */
+  SENT_AFTER_LEAVING,
   /** Nothing new is sent past the deadline. */
   SENT_LATE,
   /** Nothing new is sent to a server that drains or is gone. */
--- a/src/main/java/loadrig/explore/Step.java
+++ b/src/main/java/loadrig/explore/Step.java
@@ -18,6 +18,8 @@
   LATE_OK,
   GONE_A,
   GONE_B,
+  /** The caller leaves, which has not been read yet when the next step comes. */
+  LEAVE_UNSEEN_A,
   /** The next timer comes due. */
   TIMER,
   /** The deadline of the oldest request that is open passes. */
@@ -26,6 +28,8 @@
   REMOVE_ONE,
   /** Server one is on the list again under its id, as a process that started anew. */
   RELIST_ONE,
+  /** Other settings, in which the two kinds of requests have changed places. */
+  RELOAD,
   /** From now on no attempt gets a descriptor. */
   SHORTAGE,
   /** From now on attempts fail inside the call that starts them. */
--- a/src/main/java/loadrig/explore/World.java
+++ b/src/main/java/loadrig/explore/World.java
@@ -62,6 +62,7 @@
   private boolean shortage;
   private boolean failsAtOnce;
   private boolean nowhereElse;
+  private boolean reloaded;
 
   /** Attempts that the other place was chosen for and has not been told the end of. */
   private int awayOut;
@@ -74,27 +75,38 @@
     health = new Health[setup.servers()];
     started = new long[setup.servers()];
     java.util.Arrays.fill(health, Health.READY);
-    Settings settings =
-        new Settings(
-            List.of(type("a", setup.effectA()), type("b", setup.effectB())),
-            List.of(),
-            1,
-            false,
-            setup.tier(),
-            0,
-            1,
-            "z",
-            false,
-            new Settings.Limits(MOST_TRIES, true, setup.cancel(), 5000 * MS, 250 * MS, 1000 * MS),
-            new Settings.Obligations(
-                20 * MS, 1000 * MS, 10_000 * MS, 0.15, 1000 * MS, 2.5, 2000 * MS));
-    dispatcher = new Dispatcher(loop, new Clock(loop::now), settings, 7);
+    dispatcher = new Dispatcher(loop, new Clock(loop::now), settings(), 7);
     if (setup.away()) {
       dispatcher.overflow(new Away());
     }
     dispatcher.start(new NoDiscovery(), members());
   }
 
+  private Settings settings() {
+    return new Settings(
+        List.of(type("a", effect(true)), type("b", effect(false))),
+        List.of(),
+        1,
+        false,
+        setup.tier(),
+        0,
+        1,
+        "z",
+        false,
+        new Settings.Limits(MOST_TRIES, true, cancels(), 5000 * MS, 250 * MS, 1000 * MS),
+        new Settings.Obligations(20 * MS, 1000 * MS, 10_000 * MS, 0.15, 1000 * MS, 2.5, 2000 * MS));
+  }
+
+  /** Of a request that comes now. */
+  private RequestClass.Effect effect(boolean first) {
+    return first == reloaded ? setup.effectB() : setup.effectA();
+  }
+
+  /** Whether attempts of a request that comes now may be called off. */
+  private boolean cancels() {
+    return setup.cancel() != reloaded;
+  }
+
   private static RequestClass type(String name, RequestClass.Effect effect) {
     return new RequestClass(
         name, effect, RequestClass.Group.CELL, 1000 * MS, DEADLINE, KEY_WINDOW, 1, 0.2, false);
@@ -161,17 +173,19 @@
     final boolean first;
     final String name = "r" + (requests.size() + 1);
     final RequestClass.Effect effect;
+    final boolean cancels = cancels();
     final long deadline = loop.now() + DEADLINE;
     final List<Call> calls = new ArrayList<>();
     Ticket ticket;
     int answers;
     boolean gone;
+    boolean left;
     boolean begun;
     int released;
 
     Request(boolean first) {
       this.first = first;
-      this.effect = first ? setup.effectA() : setup.effectB();
+      this.effect = effect(first);
     }
 
     boolean over() {
@@ -202,6 +216,14 @@
       return first;
     }
 
+    @Override
+    public boolean stillWaits() {
+      if (left && !over()) {
+        gone(this);
+      }
+      return !left;
+    }
+
     @Override
     public void serve(Answer answer) {
       answered();
@@ -259,6 +281,9 @@
       if (over()) {
         broken.add(Property.SENT_AFTER_ANSWER);
       }
+      if (left) {
+        broken.add(Property.SENT_AFTER_LEAVING);
+      }
       if (loop.now() >= deadline) {
         broken.add(Property.SENT_LATE);
       }
@@ -403,6 +428,8 @@
       case LATE_OK -> calls.stream().anyMatch(call -> call.over);
       case GONE_A -> open(true) != null;
       case GONE_B -> open(false) != null;
+      case LEAVE_UNSEEN_A -> open(true) != null && !open(true).left;
+      case RELOAD -> !reloaded;
       case TIMER -> loop.nextDue() >= 0;
       case DEADLINE -> oldestOpen() != null;
       case DRAIN_ONE -> health[0] == Health.READY;
@@ -432,6 +459,11 @@
         case LATE_OK -> late();
         case GONE_A -> gone(open(true));
         case GONE_B -> gone(open(false));
+        case LEAVE_UNSEEN_A -> open(true).left = true;
+        case RELOAD -> {
+          reloaded = true;
+          dispatcher.reload(settings());
+        }
         case TIMER -> loop.advanceTo(loop.nextDue());
         case DEADLINE -> loop.advanceTo(oldestOpen().deadline);
         case DRAIN_ONE -> list(Health.DRAINING);
@@ -449,7 +481,7 @@
       broken.add(Property.NO_EXCEPTION);
     }
     for (Call call : calls) {
-      if (!call.over && setup.cancel() && call.request.over() && !call.passing) {
+      if (!call.over && call.request.cancels && call.request.over() && !call.passing) {
         broken.add(Property.CALLED_OFF);
       }
     }
--- a/src/main/java/maplehall/dispatch/Dispatcher.java
+++ b/src/main/java/maplehall/dispatch/Dispatcher.java
@@ -415,9 +415,10 @@
     attempt.upstream().attempts--;
     counters.outcome(outcome);
     request.neverRan &= outcome.neverRan();
+    boolean serves = outcome == Outcome.OK && !request.over;
     if (request.over) {
       release(answer);
-    } else if (outcome == Outcome.OK) {
+    } else if (serves) {
       answered(request);
       counters.served++;
       request.client.serve(answer);
@@ -429,7 +430,7 @@
       endedAway(attempt, outcome, until);
       return;
     }
-    if (elsewhere != null && outcome == Outcome.OK && !attempt.begun) {
+    if (elsewhere != null && serves) {
       elsewhere.servedHere(request.type, until - request.wholeNanos);
     }
     event(
@@ -460,13 +461,19 @@
     }
   }
 
-  /** Sends a request elsewhere that nothing here has run; false if there is no place for it. */
+  /**
+   * Sends a request elsewhere that nothing here has run; false if there is no place for it. One
+   * whose client turns out to have gone is over, as if it had been sent.
+   */
   private boolean sentAway(LiveRequest request) {
     long now = clock.nowNanos();
     // However many attempts here never ran: a site that is lost has made all of them in no time.
     if (elsewhere == null || !request.neverRan || !request.client.mayLeave()) {
       return false;
     }
+    if (!request.client.stillWaits()) {
+      return request.over;
+    }
     Upstream place =
         elsewhere.choose(
             request.type, request.payload, request.deadlineNanos - now, request.awayTries);
--- a/src/test/java/loadrig/explore/ExplorerTest.java
+++ b/src/test/java/loadrig/explore/ExplorerTest.java
@@ -52,6 +52,14 @@
             List.of(Step.ASK_A, Step.RESET, Step.ASK_B, Step.DEADLINE)));
   }
 
+  /** Where nothing may be called off, the copy that loses may be answered well, too. */
+  @Test
+  void oneRequestIsToldAsServedOnce() {
+    World.Setup setup = new World.Setup(Effect.SAFE, Effect.SAFE, Form.HTTP1, 2, 0, true, true);
+    List<Step> order = List.of(Step.RELOAD, Step.ASK_B, Step.TIMER, Step.OK_NEWEST, Step.OK);
+    assertEquals(Set.of(), Explorer.play(setup, order));
+  }
+
   /** What is not needed for the fault is left out of what is printed. */
   @Test
   void anOrderIsMadeAsShortAsItCanBe() {
