ClientHandler: what comes behind a request, and how a connection ends, on their own

PipelinedParts keeps, bounds and releases what a client sends ahead, with a test on its buffers; Linger names the three ways of an end with their times and bounds in place of two fields and four constants.

--- a/src/main/java/maplehall/http1/ClientHandler.java
+++ b/src/main/java/maplehall/http1/ClientHandler.java
@@ -33,7 +33,6 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.util.ArrayDeque;
 import maplehall.border.Answer;
 import maplehall.border.Caller;
 import maplehall.border.Ticket;
@@ -84,30 +83,9 @@
   /** Since the last answer; many clients ask once and never close. */
   static final long IDLE_NANOS = 10_000_000_000L;
 
-  /** From the last answer to its close: time for the client to read it. */
-  private static final long LINGER_NANOS = 500_000_000L;
-
-  /** The same for a connection that was closed between requests: nothing is owed on it. */
-  private static final long LINGER_IDLE_NANOS = 200_000_000L;
-
-  /** What is read and thrown away of a request that has been turned away. */
-  private static final long MOST_LINGER_BYTES = 1L << 20;
-
-  /** For a client that still sends a long body, so that it gets to read its answer. */
-  private static final long LINGER_UPLOAD_NANOS = 2_000_000_000L;
-
   /** Without any progress for so long the writing of an answer is given up. */
   private static final long WRITE_NANOS = 10_000_000_000L;
 
-  /**
-   * Parts of further requests that are kept while one is being answered. A client sends one request
-   * at a time; a few ahead are served in turn, a flood ends the connection.
-   */
-  static final int MOST_PIPELINED = 8;
-
-  /** What each part of a flood counts for beside its body. */
-  private static final int FLOOD_PART_BYTES = 64;
-
   private enum Phase {
     /** No request, or only a part of its head. */
     IDLE,
@@ -128,7 +106,7 @@
   private final Clock clock;
   private final Channel channel;
   private final StrictRequestDecoder decoder;
-  private final ArrayDeque<HttpObject> pipelined = new ArrayDeque<>();
+  private final PipelinedParts pipelined = new PipelinedParts();
   private Phase phase = Phase.IDLE;
   private long sinceNanos;
   private long headSinceNanos;
@@ -152,16 +130,13 @@
    */
   private boolean decoding;
 
-  private boolean flooded;
-  private long floodBytes;
-
   /** The end of a long body, kept until it is known that its client has stayed. */
   private ByteBuf uploadEnd;
 
   private boolean asked;
   private int readsBefore;
   private long lingerBytes;
-  private long lingerNanos = LINGER_NANOS;
+  private Linger linger = Linger.ANSWERED;
   private ChannelFuture answering;
   private HttpVersion version = HttpVersion.HTTP_1_1;
   private long pieceNanos;
@@ -195,30 +170,21 @@
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     decoding = true;
     HttpObject part = (HttpObject) message;
-    if (flooded) {
-      dropFlood(part);
-    } else if (phase == Phase.COMPLETE || phase == Phase.TAKEN || !pipelined.isEmpty()) {
-      // The next request before this one is answered. Reading goes on, within limits, because only
-      // reading shows that a client has gone.
-      pipelined.add(part);
-      if (pipelined.size() > MOST_PIPELINED) {
-        flooded = true;
-        keepAlive = false;
-        dropPipelined();
-      }
+    boolean busy = phase == Phase.COMPLETE || phase == Phase.TAKEN;
+    if (busy || !pipelined.isEmpty() || pipelined.isFlood()) {
+      readAhead(part);
     } else {
       read(part);
     }
   }
 
-  /** Goes on reading for a while, as the client's end may follow; a flood without end is left. */
-  private void dropFlood(HttpObject part) {
-    if (part instanceof HttpContent content) {
-      floodBytes += content.content().readableBytes();
+  /** Reading goes on while a request is answered, as only that shows that a client has gone. */
+  private void readAhead(HttpObject part) {
+    pipelined.add(part);
+    if (pipelined.isFlood()) {
+      keepAlive = false;
     }
-    floodBytes += FLOOD_PART_BYTES;
-    ReferenceCountUtil.release(part);
-    if (floodBytes > MOST_LINGER_BYTES) {
+    if (pipelined.isEndless()) {
       channel.config().setAutoRead(false);
     }
   }
@@ -266,12 +232,9 @@
   }
 
   private void thrownAway(HttpObject part) {
-    if (part instanceof HttpContent content) {
-      lingerBytes += content.content().readableBytes();
-    }
-    if (lingerBytes > (lingerNanos > LINGER_NANOS ? MOST_BODY_BYTES : MOST_LINGER_BYTES)
-        || part.decoderResult().isFailure()) {
-      channel.close(); // It had its answer; a reset is all that a client still sending can notice.
+    lingerBytes += Linger.bytes(part);
+    if (linger.endsAt(lingerBytes, part)) {
+      channel.close();
     }
   }
 
@@ -459,7 +422,7 @@
   /** Its upstream takes nothing. The last byte was never sent on, so a retry is harmless. */
   private void giveUpUpload() {
     Ticket live = request;
-    lingerNanos = LINGER_UPLOAD_NANOS;
+    linger = Linger.UPLOADING;
     reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "refused");
     if (live != null) {
       request = null;
@@ -486,7 +449,7 @@
 
   /** The request that has come whole is taken, unless a flood came behind it. */
   private void take() {
-    if (flooded) {
+    if (pipelined.isFlood()) {
       reject(HttpResponseStatus.BAD_REQUEST, "more than one request at a time");
       return;
     }
@@ -666,7 +629,7 @@
     upload = null;
     if (!keep) {
       phase = Phase.LINGER;
-      dropPipelined();
+      pipelined.release();
       lingerAfter(written);
       return;
     }
@@ -679,15 +642,14 @@
   /** Answered in the middle of a long body: what still comes is read and thrown away. */
   private void lingerOver(ChannelFuture written) {
     phase = Phase.LINGER;
-    lingerNanos = LINGER_UPLOAD_NANOS;
+    linger = Linger.UPLOADING;
     upload.release();
     lingerAfter(written);
   }
 
   /**
    * The one way in which an answered connection ends: its sending is shut, and what still comes is
-   * read and thrown away until the client closes too, or for a while. A close over unread bytes is
-   * a reset, which takes along what the client has not read of its answer.
+   * read until the client closes too, or as long as {@link Linger} says.
    */
   private void lingerAfter(ChannelFuture written) {
     written.addListener(
@@ -730,7 +692,7 @@
     sinceNanos = clock.nowNanos();
     server.becameBusy(this);
     dropBody();
-    dropPipelined();
+    pipelined.release();
     lingerAfter(channel.writeAndFlush(answer));
   }
 
@@ -761,7 +723,7 @@
   private void end() {
     phase = Phase.LINGER;
     dropBody();
-    dropPipelined();
+    pipelined.release();
     if (uploadEnd != null) {
       uploadEnd.release();
       uploadEnd = null;
@@ -808,12 +770,6 @@
     }
   }
 
-  private void dropPipelined() {
-    while (!pipelined.isEmpty()) {
-      ReferenceCountUtil.release(pipelined.poll());
-    }
-  }
-
   /**
    * Closes a connection between requests at once, for its descriptor; false if a request turns out
    * to be on it. The socket is read first: one that has come but has not been read would be lost
@@ -832,7 +788,7 @@
     if (phase == Phase.IDLE && atRest()) {
       phase = Phase.LINGER;
       sinceNanos = clock.nowNanos();
-      lingerNanos = LINGER_IDLE_NANOS;
+      linger = Linger.AT_REST;
       server.leaves(this);
       lingerAfter(channel.newSucceededFuture());
     }
@@ -886,7 +842,7 @@
       }
       case LINGER -> {
         boolean unwritten = answering != null && !answering.isDone();
-        if (age > (unwritten ? WRITE_NANOS : lingerNanos)) {
+        if (age > (unwritten ? WRITE_NANOS : linger.nanos)) {
           channel.close();
         }
       }
--- /dev/null
+++ b/src/test/java/maplehall/http1/PipelinedPartsTest.java
@@ -0,0 +1,72 @@
+package maplehall.http1;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.HttpContent;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What is kept behind a request is bounded, and every buffer is released. */
+class PipelinedPartsTest {
+  private final PipelinedParts parts = new PipelinedParts();
+  private final List<HttpContent> added = new ArrayList<>();
+
+  private void add(int bytes) {
+    HttpContent part = new DefaultHttpContent(Unpooled.buffer(bytes).writeZero(bytes));
+    added.add(part);
+    parts.add(part);
+  }
+
+  @Test
+  void aFewAreServedInTurn() {
+    for (int i = 0; i < PipelinedParts.MOST_PARTS; i++) {
+      add(10);
+    }
+    assertFalse(parts.isFlood());
+    for (HttpContent part : added) {
+      assertSame(part, parts.poll());
+      assertEquals(1, part.refCnt(), "it belongs to the caller");
+      part.release();
+    }
+    assertTrue(parts.isEmpty());
+  }
+
+  @Test
+  void oneTooManyDropsAll() {
+    for (int i = 0; i <= PipelinedParts.MOST_PARTS; i++) {
+      add(10);
+    }
+    assertTrue(parts.isFlood());
+    assertTrue(parts.isEmpty());
+    assertTrue(added.stream().allMatch(part -> part.refCnt() == 0));
+  }
+
+  @Test
+  void whatFollowsIsReleasedAndCounted() {
+    for (int i = 0; i <= PipelinedParts.MOST_PARTS; i++) {
+      add(10);
+    }
+    for (int i = 0; i < 10; i++) {
+      add(100_000);
+      assertFalse(parts.isEndless());
+    }
+    add(100_000);
+    assertTrue(parts.isEndless());
+    assertTrue(added.stream().allMatch(part -> part.refCnt() == 0));
+  }
+
+  @Test
+  void whatIsKeptIsReleasedAtTheEnd() {
+    add(10);
+    add(10);
+    parts.release();
+    assertTrue(parts.isEmpty());
+    assertTrue(added.stream().allMatch(part -> part.refCnt() == 0));
+  }
+}
