--- a/src/test/java/maplehall/platform/DiscoveryWatchTest.java
+++ b/src/test/java/maplehall/platform/DiscoveryWatchTest.java
@@ -20,6 +20,11 @@
   /** A pace, not an order: far shorter than any time of the clock. */
   private static final long DRIP_MILLIS = 20;
 
+  /** Empty lines for longer than a watch may say nothing. */
+  private static final long BEAT_MILLIS = 500;
+
+  private static final int BEATS = 8;
+
   private final BlockingQueue<Peer.Connection> watches = new LinkedBlockingQueue<>();
 
   private Peer discovery() throws Exception {
@@ -73,6 +78,28 @@
     }
   }
 
+  /** As long as it brings empty lines it is kept; what it then misses is told within 6 s. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void oneThatFallsSilentAfterAWhileIsReplacedInTime(boolean pushed) throws Exception {
+    try (Peer discovery = discovery();
+        Peer upstream = Peer.serving("found");
+        Fixture fixture = fixture(discovery, pushed).start()) {
+      Peer.Connection silent = open(nextWatch());
+      chunk(silent, list(50, true));
+      for (int i = 0; i < BEATS; i++) {
+        Thread.sleep(BEAT_MILLIS);
+        chunk(silent, "\n");
+      }
+      assertTrue(watches.isEmpty(), "one that beats is kept");
+      long since = System.nanoTime();
+      chunk(open(nextWatch()), list(51, true, ready(upstream, "s-9")));
+      awaitServed(fixture);
+      long tookMillis = (System.nanoTime() - since) / 1_000_000;
+      assertTrue(tookMillis < ListClock.TOLD_MILLIS, "told after " + tookMillis + " ms");
+    }
+  }
+
   private static Fixture fixture(Peer discovery, boolean pushed) {
     return pushed ? new Fixture().pushed(discovery) : new Fixture().asking(discovery);
   }
