Log each call to discovery: why it was made, how it ended, how old the list is

The incident's logs left out most failed calls and told neither who planned one nor how long the list had not been confirmed.

--- a/src/main/java/maplehall/node/MemberSource.java
+++ b/src/main/java/maplehall/node/MemberSource.java
@@ -19,6 +19,11 @@
    */
   default void awaitList() throws InterruptedException {}
 
+  /** How the list stands and what was done to get it, for the log; on the loop. */
+  default String figures() {
+    return "";
+  }
+
   /** No news from now on. */
   void stop();
 }
--- a/src/main/java/maplehall/node/Node.java
+++ b/src/main/java/maplehall/node/Node.java
@@ -143,6 +143,8 @@
             + " ms, heap "
             + (runtime.totalMemory() - runtime.freeMemory() >> 20)
             + " MB; "
-            + dispatcher.figures());
+            + dispatcher.figures()
+            + "; "
+            + members.figures());
   }
 }
--- a/src/main/java/maplehall/platform/DiscoveryClient.java
+++ b/src/main/java/maplehall/platform/DiscoveryClient.java
@@ -75,6 +75,7 @@
   private final CountDownLatch firstNews = new CountDownLatch(1);
 
   private boolean atOnce;
+  private final CallLog calls = new CallLog();
 
   /**
    * Asks at an address.
@@ -134,9 +135,14 @@
   @Override
   public void stop() {
     stopped = true;
-    close(watch);
-    close(fetch);
-    close(move);
+    close(watch, "the balancer ends");
+    close(fetch, "the balancer ends");
+    close(move, "the balancer ends");
+  }
+
+  @Override
+  public String figures() {
+    return calls.figures(System.nanoTime());
   }
 
   /** Other settings; whether lists are pushed or asked for stays as it was at the start. */
@@ -164,8 +170,8 @@
     if (stopped) {
       return;
     }
-    close(move);
-    move = new Call("/discovery/hosts?stream=1", true);
+    close(move, "another address");
+    move = new Call("/discovery/hosts?stream=1", true, "new address");
     move.open();
   }
 
@@ -173,7 +179,7 @@
   private void spoke(Call call) {
     if (call == move) {
       move = null;
-      close(watch);
+      close(watch, "the new address has spoken");
       watch = call;
     }
   }
@@ -187,27 +193,29 @@
       news(watch, DiscoveryList.unchanged(revision));
       return;
     }
-    close(watch);
+    close(watch, "another call is made");
     watch = null;
-    close(move);
+    close(move, "another call is made");
     move = null;
     if (enable) {
       String index = revision >= 0 ? "&index=" + revision : "";
-      watch = new Call("/discovery/hosts?stream=1" + index, true);
+      watch = new Call("/discovery/hosts?stream=1" + index, true, keepWatch ? "kept up" : "asked");
       watch.open();
     }
   }
 
   @Override
   public void fetch() {
-    close(fetch);
-    fetch = new Call("/discovery/hosts", false);
+    close(fetch, "another call is made");
+    fetch = new Call("/discovery/hosts", false, "asked");
     fetch.open();
   }
 
-  private static void close(Call call) {
-    if (call != null) {
+  /** Gives a call up that may still be out. */
+  private void close(Call call, String why) {
+    if (call != null && !call.closed) {
       call.close();
+      calls.givenUp(call.entry, why);
     }
   }
 
@@ -269,6 +277,7 @@
     private final String uri;
     private final boolean stream;
     private final InetSocketAddress to = address;
+    private final CallLog.Entry entry;
     private final ListFramer framer = new ListFramer(MOST_LINE_BYTES);
     private Channel channel;
     private Future<?> silence;
@@ -278,9 +287,11 @@
     /** The newest revision that this call has brought: an older one may not undo what it told. */
     private long spokenRevision;
 
-    Call(String uri, boolean stream) {
+    /** One that is to be opened; the cause is for the log. */
+    Call(String uri, boolean stream, String cause) {
       this.uri = uri;
       this.stream = stream;
+      this.entry = calls.planned(cause, to, revision);
     }
 
     void open() {
@@ -374,6 +385,7 @@
       boolean first = !told;
       told = true;
       heard();
+      calls.heard(entry);
       if (text.isEmpty() && !first) {
         return;
       }
@@ -388,6 +400,9 @@
         return;
       }
       spokenRevision = list.revision();
+      if (first) {
+        calls.answered(entry, list);
+      }
       spoke(this);
       news(this, list);
     }
@@ -397,6 +412,7 @@
         DiscoveryList list = DiscoveryList.parse(JSON.std.mapFrom(framer.take()));
         close();
         fetch = null;
+        calls.answered(entry, list);
         news(this, list);
       } else {
         fail("ended");
@@ -416,6 +432,7 @@
     private void fail(String why) {
       if (!closed) {
         close();
+        calls.failed(entry, why, told);
         broken(this, why);
       }
     }
