A failing test of the incident: calls for the list turned away while a server drains

Three processes, a stand-in for discovery with its queue and outages, SIGHUP, servers that drain and answer on.

--- /dev/null
+++ b/src/main/java/loadrig/platform/ListService.java
@@ -0,0 +1,409 @@
+package loadrig.platform;
+
+import static java.util.concurrent.TimeUnit.MILLISECONDS;
+import static java.util.concurrent.TimeUnit.NANOSECONDS;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import maplehall.runtime.Listeners;
+
+/**
+ * A stand-in for discovery that is asked: one service for all balancers, which works through calls
+ * in turn and turns a call away when its answer would take too long. It can be down, busy with
+ * other callers, or forget its open watches. Each balancer asks at an address of its own, so that
+ * it is known what each has been told. Everything lives on one event loop; the methods may be
+ * called from any other thread.
+ */
+public final class ListService implements AutoCloseable {
+  /** A call waits for so long at most, and is then failed. */
+  static final long CALL_TIMEOUT_MILLIS = 3000;
+
+  private static final long HEARTBEAT_MILLIS = 2000;
+  private static final int MOST_REQUEST_BYTES = 4096;
+
+  /** A change of the list, and when discovery had it. */
+  record Change(long revision, ListedMember member, long nanos) {}
+
+  private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+  private final EventLoop loop = group.next();
+  private final SplittableRandom random;
+  private final Map<String, ListedMember> members = new LinkedHashMap<>();
+  private final List<Change> changes = new ArrayList<>();
+  private final Map<String, Portal> portals = new HashMap<>();
+  private final Reachability reachability = new Reachability();
+  private long revision;
+  private long busyUntilNanos = System.nanoTime();
+  private long callNanos = MILLISECONDS.toNanos(5);
+  private double othersPerSecond;
+  private boolean down;
+  private boolean turnsAway;
+
+  public ListService(long seed) {
+    random = new SplittableRandom(seed);
+  }
+
+  // ---- what it lists ----
+
+  /** Lists an upstream, or tells of a change of one. */
+  void list(ListedMember member) {
+    run(
+        () -> {
+          revision++;
+          if (member.phase() == ListedMember.Phase.TERMINATED) {
+            members.remove(member.id());
+          } else {
+            members.put(member.id(), member);
+          }
+          changes.add(new Change(revision, member, System.nanoTime()));
+          portals.values().forEach(Portal::tellChange);
+          return null;
+        });
+  }
+
+  ListedMember member(String id) {
+    return run(() -> members.get(id));
+  }
+
+  /** The whole list in discovery's form, as a balancer knows it at its start. */
+  Map<String, Object> known() {
+    return run(() -> document(true, members.values()));
+  }
+
+  private Map<String, Object> document(boolean whole, Collection<ListedMember> entries) {
+    Map<String, Object> document = new LinkedHashMap<>();
+    document.put("revision", revision);
+    document.put("complete", whole);
+    document.put("members", entries.stream().map(ListedMember::json).toList());
+    return document;
+  }
+
+  // ---- what goes wrong ----
+
+  /** Down: watches are reset, calls wait and end with an error. */
+  public void down(boolean on) {
+    run(
+        () -> {
+          down = on;
+          reachability.down(on, System.nanoTime());
+          if (on) {
+            portals.values().forEach(Portal::resetWatches);
+          }
+          return null;
+        });
+  }
+
+  /** Turns all calls away at once, as one does whose queue is full. */
+  public void turnAway(boolean on) {
+    run(() -> turnsAway = on);
+  }
+
+  /** How long one call takes, and how many calls of others come in a second. */
+  public void load(long callMillis, double others) {
+    run(
+        () -> {
+          boolean idle = othersPerSecond <= 0;
+          callNanos = MILLISECONDS.toNanos(callMillis);
+          othersPerSecond = others;
+          if (idle && others > 0) {
+            planOther();
+          }
+          return null;
+        });
+  }
+
+  /** So much work is in the queue from now on. */
+  public void occupy(long millis) {
+    run(
+        () ->
+            busyUntilNanos =
+                Math.max(busyUntilNanos, System.nanoTime()) + MILLISECONDS.toNanos(millis));
+  }
+
+  /** Resets all open watches. */
+  public void resetWatches() {
+    run(
+        () -> {
+          portals.values().forEach(Portal::resetWatches);
+          return null;
+        });
+  }
+
+  /** Says nothing any more on the watches that are open now. */
+  public void silenceWatches() {
+    run(
+        () -> {
+          portals.values().forEach(portal -> portal.watches.forEach(watch -> watch.silent = true));
+          return null;
+        });
+  }
+
+  private void planOther() {
+    long wait = (long) (-Math.log(1 - random.nextDouble()) / othersPerSecond * 1e9);
+    loop.schedule(
+        () -> {
+          if (othersPerSecond > 0) {
+            place();
+            planOther();
+          }
+        },
+        wait,
+        NANOSECONDS);
+  }
+
+  /** When a call that comes now is answered, or -1 if it is turned away. */
+  private long place() {
+    long now = System.nanoTime();
+    long end = Math.max(now, busyUntilNanos) + callNanos;
+    if (turnsAway || end - now > MILLISECONDS.toNanos(CALL_TIMEOUT_MILLIS)) {
+      return -1;
+    }
+    busyUntilNanos = end;
+    return end;
+  }
+
+  // ---- whom it tells ----
+
+  /** Where a balancer asks from now on; the address that it had before ends. */
+  public InetSocketAddress open(String balancer) throws InterruptedException {
+    Portal portal = run(() -> portals.computeIfAbsent(balancer, any -> new Portal()));
+    return portal.move();
+  }
+
+  /**
+   * When a change counts as told to a balancer: when it was written to it, or a while after
+   * discovery had it and could be reached.
+   */
+  long toldNanos(String balancer, Change change, long limitNanos) {
+    return run(
+        () -> {
+          long limit = reachability.after(change.nanos(), limitNanos);
+          Long written = portals.get(balancer).written.get(change.revision());
+          return written == null ? limit : Math.min(written, limit);
+        });
+  }
+
+  /** Balancers that have a watch which has spoken and has not been silenced. */
+  public int watching() {
+    return run(
+        () ->
+            (int)
+                portals.values().stream()
+                    .filter(portal -> portal.watches.stream().anyMatch(watch -> !watch.silent))
+                    .count());
+  }
+
+  List<Change> changes() {
+    return run(() -> List.copyOf(changes));
+  }
+
+  /** Calls that came, and of these the ones that were turned away. */
+  public long[] calls() {
+    return run(
+        () -> {
+          long[] sums = new long[2];
+          for (Portal portal : portals.values()) {
+            sums[0] += portal.calls;
+            sums[1] += portal.turnedAway;
+          }
+          return sums;
+        });
+  }
+
+  @Override
+  public void close() {
+    group.shutdownGracefully(0, 2, TimeUnit.SECONDS).syncUninterruptibly();
+  }
+
+  private <T> T run(Callable<T> task) {
+    return loop.submit(task).syncUninterruptibly().getNow();
+  }
+
+  private static void reset(Channel channel) {
+    if (channel instanceof SocketChannel socket && socket.isOpen()) {
+      socket.config().setSoLinger(0);
+    }
+    channel.close();
+  }
+
+  /** The address of one balancer, and what it has been told there. */
+  private final class Portal {
+    private final Set<Watch> watches = new LinkedHashSet<>();
+    private final Map<Long, Long> written = new HashMap<>();
+    private Channel listener;
+    private long calls;
+    private long turnedAway;
+
+    InetSocketAddress move() throws InterruptedException {
+      Channel next =
+          Listeners.on(loop, this::accepted)
+              .bind(new InetSocketAddress("127.0.0.1", 0))
+              .sync()
+              .channel();
+      run(
+          () -> {
+            if (listener != null) {
+              listener.close();
+              resetWatches();
+            }
+            listener = next;
+            return null;
+          });
+      return (InetSocketAddress) next.localAddress();
+    }
+
+    private void accepted(Channel channel) {
+      channel
+          .pipeline()
+          .addLast(
+              new HttpServerCodec(),
+              new HttpObjectAggregator(MOST_REQUEST_BYTES),
+              new SimpleChannelInboundHandler<FullHttpRequest>() {
+                @Override
+                protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+                  called(ctx.channel(), request.uri());
+                }
+
+                @Override
+                public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                  ctx.close();
+                }
+              });
+    }
+
+    private void called(Channel channel, String uri) {
+      calls++;
+      if (down) {
+        loop.schedule(() -> fail(channel), CALL_TIMEOUT_MILLIS, MILLISECONDS);
+        return;
+      }
+      long answered = place();
+      if (answered < 0) {
+        turnedAway++;
+        fail(channel);
+        return;
+      }
+      long wait = Math.max(0, answered - System.nanoTime());
+      loop.schedule(() -> answer(channel, uri), wait, NANOSECONDS);
+    }
+
+    private void fail(Channel channel) {
+      FullHttpResponse answer =
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE);
+      HttpUtil.setContentLength(answer, 0);
+      channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    private void answer(Channel channel, String uri) {
+      if (!channel.isActive()) {
+        return;
+      }
+      if (down) {
+        fail(channel);
+        return;
+      }
+      HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+      HttpUtil.setTransferEncodingChunked(head, true);
+      head.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+      channel.write(head);
+      List<String> index = new QueryStringDecoder(uri).parameters().get("index");
+      Watch watch = new Watch(channel, index == null ? -1 : Long.parseLong(index.get(0)));
+      watches.add(watch);
+      channel.closeFuture().addListener(closed -> watches.remove(watch));
+      tell(watch);
+      beat(watch);
+    }
+
+    private void beat(Watch watch) {
+      loop.schedule(
+          () -> {
+            if (watch.channel.isActive()) {
+              if (!watch.silent) {
+                line(watch, "\n");
+              }
+              beat(watch);
+            }
+          },
+          HEARTBEAT_MILLIS,
+          MILLISECONDS);
+    }
+
+    private void tellChange() {
+      if (!down) {
+        watches.stream().filter(watch -> !watch.silent).forEach(this::tell);
+      }
+    }
+
+    /** What has changed since the last line, or the whole list where that is not known. */
+    private void tell(Watch watch) {
+      boolean whole = watch.told < 0 || watch.told > revision;
+      Map<String, ListedMember> entries = new LinkedHashMap<>();
+      for (Change change : changes) {
+        if (whole || change.revision() > watch.told) {
+          written.putIfAbsent(change.revision(), System.nanoTime());
+          entries.put(change.member().id(), change.member());
+        }
+      }
+      try {
+        Collection<ListedMember> listed = whole ? members.values() : entries.values();
+        line(watch, JSON.std.asString(document(whole, listed)) + "\n");
+      } catch (IOException e) {
+        throw new IllegalStateException(e);
+      }
+      watch.told = revision;
+    }
+
+    private void line(Watch watch, String text) {
+      watch.channel.writeAndFlush(
+          new DefaultHttpContent(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8)));
+    }
+
+    private void resetWatches() {
+      List.copyOf(watches).forEach(watch -> reset(watch.channel));
+    }
+  }
+
+  private static final class Watch {
+    private final Channel channel;
+    private long told;
+    private boolean silent;
+
+    Watch(Channel channel, long told) {
+      this.channel = channel;
+      this.told = told;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/loadrig/platform/PlatformProcess.java
@@ -0,0 +1,136 @@
+package loadrig.platform;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.InetSocketAddress;
+import java.net.URL;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import loadrig.balancer.BalancerProcess;
+
+/**
+ * A balancer as the platform runs it: {@code serve} with its configuration named by EDGE_CONFIG.
+ */
+public final class PlatformProcess implements AutoCloseable {
+  private static final List<String> FLAGS =
+      List.of("-XX:+UseSerialGC", "-Xmx64m", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData");
+  private static final long START_MILLIS = 30_000;
+  private static final int ASK_MILLIS = 1000;
+
+  private final String name;
+  private final Path folder;
+  private final InetSocketAddress listen = BalancerProcess.freeAddress();
+  private final Map<String, String> environment = new HashMap<>();
+  private Map<String, Object> config = Map.of();
+  private Process process;
+  private int starts;
+
+  PlatformProcess(String name) throws IOException {
+    this.name = name;
+    this.folder = Files.createTempDirectory("heathswitch-platform-");
+  }
+
+  public String name() {
+    return name;
+  }
+
+  public InetSocketAddress listen() {
+    return listen;
+  }
+
+  /**
+   * A variable of the environment of its next process, a library to be loaded before others say.
+   */
+  public void environment(String variable, String value) {
+    environment.put(variable, value);
+  }
+
+  /** What its configuration says at its next start or SIGHUP. */
+  void configure(Map<String, Object> next) throws IOException {
+    config = next;
+    Path written = folder.resolve("next");
+    Files.writeString(written, JSON.std.asString(config));
+    Files.move(written, file(), StandardCopyOption.ATOMIC_MOVE);
+  }
+
+  Map<String, Object> config() {
+    return config;
+  }
+
+  private Path file() {
+    return folder.resolve("config.json");
+  }
+
+  /** The log of its newest process. */
+  public Path log() {
+    return folder.resolve("log-" + starts);
+  }
+
+  /** Starts its process and returns when it is ready; how long that took. */
+  long start() throws IOException, InterruptedException {
+    starts++;
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(FLAGS);
+    command.addAll(
+        List.of("-cp", System.getProperty("java.class.path"), "maplehall.Main", "serve"));
+    ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+    builder.environment().put("EDGE_CONFIG", file().toString());
+    builder.environment().put("TMPDIR", Files.createDirectories(folder.resolve("tmp")).toString());
+    builder.environment().putAll(environment);
+    long began = System.nanoTime();
+    process = builder.redirectOutput(log().toFile()).start();
+    while (!ready()) {
+      if (!process.isAlive() || System.nanoTime() - began > START_MILLIS * 1_000_000) {
+        throw new IOException(name + " did not start:\n" + Files.readString(log()));
+      }
+      Thread.sleep(20);
+    }
+    return (System.nanoTime() - began) / 1_000_000;
+  }
+
+  private boolean ready() {
+    try {
+      URL url = new URL("http", "127.0.0.1", listen.getPort(), "/up");
+      HttpURLConnection connection = (HttpURLConnection) url.openConnection();
+      connection.setConnectTimeout(ASK_MILLIS);
+      connection.setReadTimeout(ASK_MILLIS);
+      return connection.getResponseCode() == 200;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  public boolean alive() {
+    return process != null && process.isAlive();
+  }
+
+  /** Sends a signal by its name: HUP, TERM, STOP or CONT. */
+  public void signal(String signal) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+  }
+
+  /** SIGKILL. */
+  public void kill() throws InterruptedException {
+    process.destroyForcibly().waitFor(START_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Waits for its end; its exit code, or -1 if it goes on. */
+  int awaitEnd(long millis) throws InterruptedException {
+    return process.waitFor(millis, TimeUnit.MILLISECONDS) ? process.exitValue() : -1;
+  }
+
+  @Override
+  public void close() throws IOException {
+    if (process != null) {
+      process.destroyForcibly();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/loadrig/platform/RoutingRecord.java
@@ -0,0 +1,67 @@
+package loadrig.platform;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import loadrig.client.OpenLoop;
+import loadrig.server.StandIn;
+
+/** Which request reached which server when, held against what discovery had told. Any thread. */
+public final class RoutingRecord implements StandIn.Observer {
+  /** A change counts as told so long after discovery had it and could be reached. */
+  static final long TOLD_NANOS = 6_000_000_000L;
+
+  /** Of each time limit of the rules on sockets, and what this rig may see late. */
+  private static final long SLACK_NANOS = 100_000_000L;
+
+  private record Arrival(String server, String path, long nanos) {}
+
+  /** A request to a server that drained or had gone, so long after its balancer was told. */
+  public record LateSend(String balancer, String server, String path, double secondsAfterTold) {}
+
+  private final List<Arrival> arrivals = new ArrayList<>();
+  private final Map<OpenLoop, String> balancerOf = new HashMap<>();
+
+  synchronized void loads(String balancer, OpenLoop load) {
+    balancerOf.put(load, balancer);
+  }
+
+  @Override
+  public synchronized void arrived(StandIn server, String path, long unixMillis) {
+    arrivals.add(new Arrival(server.name(), path, System.nanoTime()));
+  }
+
+  synchronized List<LateSend> lateSends(ListService discovery, long graceMillis) {
+    List<LateSend> late = new ArrayList<>();
+    for (ListService.Change change : discovery.changes()) {
+      if (change.member().phase() == ListedMember.Phase.IN_SERVICE) {
+        continue;
+      }
+      Map<String, Long> told = new HashMap<>();
+      for (Arrival arrival : arrivals) {
+        String balancer =
+            arrival.server().equals(change.member().id()) ? balancer(arrival.path()) : null;
+        if (balancer == null) {
+          continue;
+        }
+        long toldNanos =
+            told.computeIfAbsent(balancer, name -> discovery.toldNanos(name, change, TOLD_NANOS));
+        long after = arrival.nanos() - toldNanos;
+        if (toldNanos < Long.MAX_VALUE && after > graceMillis * 1_000_000 + SLACK_NANOS) {
+          late.add(new LateSend(balancer, arrival.server(), arrival.path(), after / 1e9));
+        }
+      }
+    }
+    return late;
+  }
+
+  private String balancer(String path) {
+    for (Map.Entry<OpenLoop, String> each : balancerOf.entrySet()) {
+      if (each.getKey().owns(path)) {
+        return each.getValue();
+      }
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/src/main/java/loadrig/platform/Terms.java
@@ -0,0 +1,68 @@
+package loadrig.platform;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What the settings tell all balancers of a fleet.
+ *
+ * @param deadlineMillis of every class, and for which clients wait
+ * @param graceMillis for which a server may be sent to after it was told to drain
+ * @param sockets descriptors that each process may hold
+ */
+public record Terms(long deadlineMillis, long graceMillis, int sockets) {
+  private static final long NANOS_A_MILLI = 1_000_000;
+
+  /** The platform's settings object for one of so many balancers. */
+  Map<String, Object> settings(int number, int balancers) {
+    Map<String, Object> settings = new LinkedHashMap<>();
+    settings.put(
+        "classes", List.of(type("view", "read_like", 1.0), type("publish", "non_idempotent", 2.0)));
+    settings.put("tenants", List.of(Map.of("name", "school", "portion", 1.0, "quota_rps", 1000.0)));
+    settings.put("membership_mode", "subscribe");
+    settings.put("me", number);
+    settings.put("replicas_of_me", Math.max(1, balancers));
+    settings.put("tier", 0);
+    settings.put("zone", "a");
+    settings.put("limits", limits());
+    settings.put("obligations", obligations());
+    return settings;
+  }
+
+  private Map<String, Object> type(String name, String effect, double importance) {
+    Map<String, Object> type = new LinkedHashMap<>();
+    type.put("name", name);
+    type.put("idempotency", effect);
+    type.put("group", "all");
+    type.put("aim_ns", deadlineMillis * NANOS_A_MILLI / 2);
+    type.put("hard_limit_ns", deadlineMillis * NANOS_A_MILLI);
+    type.put("window_ns", 5_000 * NANOS_A_MILLI);
+    type.put("importance", importance);
+    return type;
+  }
+
+  private static Map<String, Object> limits() {
+    Map<String, Object> limits = new LinkedHashMap<>();
+    limits.put("most_tries", 4);
+    limits.put("may_duplicate", true);
+    limits.put("cancelling", true);
+    limits.put("keepalive_ns", 5_000 * NANOS_A_MILLI);
+    limits.put("dial_timeout_ns", 250 * NANOS_A_MILLI);
+    limits.put("max_retry_after_ns", 2_000 * NANOS_A_MILLI);
+    limits.put("retry_after", true);
+    return limits;
+  }
+
+  private Map<String, Object> obligations() {
+    Map<String, Object> obligations = new LinkedHashMap<>();
+    obligations.put("grace_to_answer_ns", 20 * NANOS_A_MILLI);
+    obligations.put("stop_sending_within_ns", graceMillis * NANOS_A_MILLI);
+    obligations.put("must_ask_in_ns", 10_000 * NANOS_A_MILLI);
+    obligations.put("start_capacity", 0.2);
+    obligations.put("warm_up_ns", 10_000 * NANOS_A_MILLI);
+    obligations.put("tip_multiple", 2.5);
+    obligations.put("fall_ns", 2_000 * NANOS_A_MILLI);
+    return obligations;
+  }
+}
