A list that discovery does not confirm is acted on for a limited time

Cause: Membership.ask and mayBegin knew no age of the list; DiscoveryClient.moveAgain planned calls of its own (200 ms doubled to 1.6 s) and told the module of none that failed.

Change: ListLease (until when the list may be acted on: 6 s and the grace after it was last confirmed, less 0.25 s; time in which discovery is out of reach does not count; a prompt 503 shows that it runs), ListCalls (one call at a time, the next one 0.1 to 0.3 s after one that was turned away or had waited long). One planner: a move tells the module. Requests that come while nothing may be sent wait as at deeper tiers, then are refused.

--- a/src/main/java/maplehall/dispatch/Dispatcher.java
+++ b/src/main/java/maplehall/dispatch/Dispatcher.java
@@ -615,9 +615,28 @@
     return forget;
   }
 
-  /** A call to discovery failed, or its watch broke. */
-  public void onDiscoveryBroken() {
-    event(null, () -> balancer.onServers(clock.nowNanos(), ListForm.BROKEN, List.of()));
+  /**
+   * A call to discovery failed, or its watch broke.
+   *
+   * @param form how it failed
+   */
+  public void onDiscoveryFailed(ListForm form) {
+    event(null, () -> balancer.onServers(clock.nowNanos(), form, List.of()));
+  }
+
+  /** Has a list that is not confirmed hold for a limited time only. */
+  public void limitListAge(long toldNanos) {
+    event(null, () -> balancer.limitListAge(clock.nowNanos(), toldNanos));
+  }
+
+  /** Discovery has said that the list is current, after all news of it. */
+  public void onListConfirmed() {
+    event(null, () -> balancer.onListConfirmed(clock.nowNanos()));
+  }
+
+  /** Discovery is to be asked at another address from now on. */
+  public void onDiscoveryMoved() {
+    event(null, () -> balancer.onDiscoveryMoved(clock.nowNanos()));
   }
 
   // ---- the module's actions ----
--- a/src/main/java/maplehall/platform/DiscoveryClient.java
+++ b/src/main/java/maplehall/platform/DiscoveryClient.java
@@ -43,11 +43,6 @@
  * nobody asks, so the watch is kept up here.
  */
 final class DiscoveryClient implements MemberSource, Dispatcher.Discovery {
-  /** After a move the new address is tried again this soon, twice as long after each failure. */
-  private static final long MOVE_AGAIN_MILLIS = 200;
-
-  private static final int MOST_MOVE_DOUBLINGS = 3;
-
   /** A process that follows another is to serve within 6 s; most of them are kept in hand. */
   private static final long FIRST_NEWS_MILLIS = 2500;
 
@@ -62,13 +57,14 @@
   private final Bootstrap bootstrap;
   private Dispatcher dispatcher;
   private long revision = -1;
+
+  /** The watch that has spoken; it is heard until a newer one has. */
   private Call watch;
-  private Call fetch;
 
-  /** The first watch at a new address, until its first line has come; then it is the watch. */
-  private Call move;
+  /** The call for a watch that has not spoken yet: one at a time. */
+  private Call pending;
 
-  private int failedMoves;
+  private Call fetch;
   private boolean stopped;
 
   /** Opened with the first news, for a process that follows another. */
@@ -127,6 +123,9 @@
       Log.warn("known list", "left out: " + e.getMessage());
     }
     dispatcher.start(this, entries);
+    if (!keepWatch) {
+      dispatcher.limitListAge(MILLISECONDS.toNanos(ListClock.TOLD_MILLIS));
+    }
     if (keepWatch || atOnce) {
       watch(true);
     }
@@ -137,7 +136,7 @@
     stopped = true;
     close(watch, "the balancer ends");
     close(fetch, "the balancer ends");
-    close(move, "the balancer ends");
+    close(pending, "the balancer ends");
   }
 
   @Override
@@ -162,46 +161,43 @@
     }
     address = to;
     revision = -1;
-    failedMoves = 0;
-    openMove();
-  }
-
-  private void openMove() {
-    if (stopped) {
-      return;
+    close(pending, "another address");
+    pending = null;
+    if (keepWatch) {
+      watch(true);
+    } else {
+      dispatcher.onDiscoveryMoved();
     }
-    close(move, "another address");
-    move = new Call("/discovery/hosts?stream=1", true, "new address");
-    move.open();
   }
 
   /** A call has brought its first line. */
   private void spoke(Call call) {
-    if (call == move) {
-      move = null;
-      close(watch, "the new address has spoken");
+    if (call == pending) {
+      pending = null;
+      close(watch, "a newer one has spoken");
       watch = call;
     }
   }
 
   @Override
   public void watch(boolean enable) {
-    if (enable && move != null) {
-      return; // A call to the newest address is out already; it keeps its turn.
+    if (!enable) {
+      close(watch, "not wanted");
+      watch = null;
+      close(pending, "not wanted");
+      pending = null;
+      return;
     }
-    if (enable && watch != null && watch.told && watch.uses(address)) {
+    if (pending != null && pending.uses(address)) {
+      return; // It keeps its turn.
+    }
+    if (watch != null && watch.uses(address)) {
       news(watch, DiscoveryList.unchanged(revision));
       return;
     }
-    close(watch, "another call is made");
-    watch = null;
-    close(move, "another call is made");
-    move = null;
-    if (enable) {
-      String index = revision >= 0 ? "&index=" + revision : "";
-      watch = new Call("/discovery/hosts?stream=1" + index, true, keepWatch ? "kept up" : "asked");
-      watch.open();
-    }
+    String index = revision >= 0 ? "&index=" + revision : "";
+    pending = new Call("/discovery/hosts?stream=1" + index, true, keepWatch ? "kept up" : "asked");
+    pending.open();
   }
 
   @Override
@@ -219,47 +215,39 @@
     }
   }
 
-  private void broken(Call call, String why) {
-    if (stopped) {
-      return;
-    }
-    if (call == move) {
-      move = null;
-      Log.warn("discovery", "not yet at its new address: " + why);
-      long delay = MOVE_AGAIN_MILLIS << Math.min(failedMoves++, MOST_MOVE_DOUBLINGS);
-      loop.schedule(() -> moveAgain(), delay, MILLISECONDS);
-      return;
-    }
-    if (call == watch && move != null) {
-      watch = null; // The old address ends its watches; the new one is already being asked.
-      return;
-    }
-    if (call != watch && call != fetch) {
+  /**
+   * A call has ended.
+   *
+   * @param how what its end shows of discovery
+   */
+  private void broken(Call call, String why, ListForm how) {
+    if (stopped || (call != watch && call != pending && call != fetch)) {
       return;
     }
-    Log.warn("discovery", (call == watch ? "watch" : "list") + " broken: " + why);
     if (call == fetch) {
       fetch = null;
-    } else {
+    } else if (call == watch) {
       watch = null;
-      if (keepWatch) {
-        loop.schedule(() -> watchAgain(), clock.againMillis(), MILLISECONDS);
-        return; // Nobody asked, so nobody is told.
+      Log.warn("discovery", "watch broken: " + why);
+      if (pending != null) {
+        return; // Its end is told instead.
       }
+    } else {
+      pending = null;
     }
-    dispatcher.onDiscoveryBroken();
-  }
-
-  private void watchAgain() {
-    if (!stopped && watch == null) {
-      watch(true);
+    if (call.stream && keepWatch) {
+      loop.schedule(() -> watchAgain(), clock.againMillis(), MILLISECONDS);
+    } else {
+      dispatcher.onDiscoveryFailed(how);
     }
   }
 
-  /** Unless the module has opened a watch of its own meanwhile, at the same new address. */
-  private void moveAgain() {
-    if (move == null && (watch == null || !watch.uses(address))) {
-      openMove();
+  private void watchAgain() {
+    if (!stopped) {
+      boolean spoken = watch != null && watch.uses(address);
+      if (!spoken) {
+        watch(true);
+      }
     }
   }
 
@@ -268,9 +256,17 @@
       revision = list.revision();
     }
     dispatcher.onServers(list.whole() ? ListForm.WHOLE : ListForm.CHANGES, list.entries());
+    confirmed(call);
     firstNews.countDown();
   }
 
+  /** What an address that is no longer asked says does not confirm the list. */
+  private void confirmed(Call call) {
+    if (call.uses(address)) {
+      dispatcher.onListConfirmed();
+    }
+  }
+
   // ---- one call ----
 
   private final class Call extends ChannelInboundHandlerAdapter {
@@ -281,6 +277,7 @@
     private final ListFramer framer = new ListFramer(MOST_LINE_BYTES);
     private Channel channel;
     private Future<?> silence;
+    private boolean begun;
     private boolean told;
     private boolean closed;
 
@@ -360,10 +357,11 @@
       }
       if (part instanceof HttpResponse response && response.status().code() != 200) {
         if (response.status().code() >= 200) {
-          fail("status " + response.status().code());
+          end("status " + response.status().code(), ListForm.TURNED_AWAY);
         }
         return;
       }
+      begun |= part instanceof HttpResponse;
       if (part instanceof HttpContent content) {
         take(content.content());
         if (part instanceof LastHttpContent && !closed) {
@@ -387,6 +385,7 @@
       heard();
       calls.heard(entry);
       if (text.isEmpty() && !first) {
+        confirmed(this);
         return;
       }
       // Empty at first: nothing has changed, but the module waits to hear that its call went
@@ -430,10 +429,14 @@
     }
 
     private void fail(String why) {
+      end(why, begun ? ListForm.CUT_SHORT : ListForm.BROKEN);
+    }
+
+    private void end(String why, ListForm how) {
       if (!closed) {
         close();
         calls.failed(entry, why, told);
-        broken(this, why);
+        broken(this, why, how);
       }
     }
 
--- a/src/main/java/meadowtrack/api/ListForm.java
+++ b/src/main/java/meadowtrack/api/ListForm.java
@@ -9,5 +9,14 @@
   /** The whole list as this instance last had it, possibly old. */
   STALE,
   /** A call failed or the subscription broke; no entries. */
-  BROKEN
+  BROKEN,
+  /** Discovery answered a call, and turned it away; no entries. */
+  TURNED_AWAY,
+  /** Discovery began to answer a call, and the answer broke off before it told anything. */
+  CUT_SHORT;
+
+  /** Whether a call or a subscription has failed; such news has no entries. */
+  public boolean failure() {
+    return this == BROKEN || this == TURNED_AWAY || this == CUT_SHORT;
+  }
 }
--- a/src/main/java/meadowtrack/core/Balancer.java
+++ b/src/main/java/meadowtrack/core/Balancer.java
@@ -86,6 +86,25 @@
     members.start(nowNanos);
   }
 
+  /**
+   * Has a list hold for a limited time only unless it is confirmed: a change counts as told so long
+   * after discovery had it and could be reached.
+   */
+  public void limitListAge(long nowNanos, long toldNanos) {
+    members.limitAge(nowNanos, toldNanos);
+  }
+
+  /** Discovery has said that the list is current, after all news of it. */
+  public void onListConfirmed(long nowNanos) {
+    members.confirmed(nowNanos);
+    serveWaiting(nowNanos);
+  }
+
+  /** Discovery is to be asked at another address from now on. */
+  public void onDiscoveryMoved(long nowNanos) {
+    members.moved(nowNanos);
+  }
+
   /** Discovery has news. */
   public void onServers(long nowNanos, ListForm form, List<ServerEntry> entries) {
     members.onNews(nowNanos, form, entries);
@@ -136,6 +155,7 @@
     Request.Attempt attempt = open(id, number);
     return attempt != null
         && !attempt.request.over
+        && members.current(nowNanos)
         && attempt.server.health == Health.READY
         && attempt.request.maySend(number, attempt.server, nowNanos);
   }
@@ -204,7 +224,9 @@
   // ---- sending ----
 
   private boolean trySend(Request request, long nowNanos) {
-    if (request.tries >= request.rules.limits.mostTries() || nowNanos >= request.deadlineNanos) {
+    if (request.tries >= request.rules.limits.mostTries()
+        || nowNanos >= request.deadlineNanos
+        || !members.current(nowNanos)) {
       return false;
     }
     Server server = choose(request, nowNanos);
@@ -270,11 +292,14 @@
 
   // ---- no room, failures, waiting ----
 
-  /** Refused at once at the top; deeper, where callers would see an error, after a short wait. */
+  /**
+   * Refused at once at the top; deeper, where callers would see an error, after a short wait. So is
+   * all that comes while the list may not be acted on: it is likely to be confirmed in a moment.
+   */
   private void noRoom(Request request, long nowNanos) {
     // A call that comes with no time left would be answered too late by any timer.
     long left = request.deadlineNanos - nowNanos;
-    if (request.rules.settings.tier() == 0
+    if ((request.rules.settings.tier() == 0 && members.current(nowNanos))
         || left <= request.rules.settings.obligations().graceToAnswerNanos()) {
       giveUp(request, nowNanos);
       return;
--- a/src/main/java/meadowtrack/core/Membership.java
+++ b/src/main/java/meadowtrack/core/Membership.java
@@ -16,17 +16,6 @@
 
 /** Follows the list of servers: who is known, in service, cold; and asks where it must be asked. */
 final class Membership {
-  /** Part of the time limit over which instances spread their first ask. */
-  static final double ASK_SPREAD = 0.6;
-
-  /** Part of the time limit after which an ask without an answer is repeated. */
-  static final double ASK_AGAIN = 0.9;
-
-  /** Half of the mean wait after a first call that failed; doubled with each further one. */
-  static final long ASK_SOON_NANOS = 250_000_000L;
-
-  static final int MOST_DOUBLINGS = 3;
-
   /** A cold server gets at most this multiple of its fair part of the traffic. */
   static final double COLD_HEADROOM = 0.9;
 
@@ -40,61 +29,127 @@
   final WorkingSet spare;
   private int coldTurn;
   private double heaviest = 1;
-  private int failedAsks;
+  private final ListCalls calls;
+
+  /** Null where a list holds until the next one comes. */
+  private ListLease lease;
+
   private boolean subscribed;
   private boolean calling;
-  private long askDueNanos;
+  private boolean suspended;
+  private long calledNanos;
+  private long callDueNanos;
 
   Membership(Settings settings, Actions actions, SplittableRandom random) {
     this.settings = settings;
     this.actions = actions;
     this.random = random;
+    this.calls = new ListCalls(random);
     long idleNanos = settings.limits().keepAliveNanos();
     this.near = new WorkingSet(random, idleNanos, WorkingSet.LEAST);
     this.far = new WorkingSet(random, idleNanos, WorkingSet.LEAST);
     this.spare = new WorkingSet(random, idleNanos, 0);
   }
 
-  /** Plans the first ask: spread by seed, since all instances may start at once. */
+  /** Plans the first call: spread by seed, since all instances may start at once. */
   void start(long nowNanos) {
     if (settings.mustAsk()) {
-      long limit = settings.obligations().mustAskInNanos();
-      askIn(nowNanos, (long) (limit * ASK_SPREAD * random.nextDouble()));
+      callIn(nowNanos, calls.first(settings.obligations().mustAskInNanos()));
     }
   }
 
+  /** From now on a list that is not confirmed may be acted on for a limited time only. */
+  void limitAge(long nowNanos, long toldNanos) {
+    lease = new ListLease(nowNanos, toldNanos);
+  }
+
   /** Only the newest plan counts: one call at a time, or all instances together drown discovery. */
-  private void askIn(long nowNanos, long delayNanos) {
-    askDueNanos = nowNanos + delayNanos;
+  private void callIn(long nowNanos, long delayNanos) {
+    callDueNanos = nowNanos + delayNanos;
     actions.setTimer(delayNanos, Balancer.ASK);
   }
 
-  /** A timer for asking has come due: asks if the subscription is missing. */
+  /** A timer for a call has come due: calls if the subscription is missing. */
   void ask(long nowNanos) {
-    if (nowNanos < askDueNanos - Balancer.TIMER_SLACK_NANOS) {
+    if (nowNanos < callDueNanos - Balancer.TIMER_SLACK_NANOS) {
       return;
     }
     if (!subscribed) {
-      calling = true;
-      actions.watch(true);
+      call(nowNanos);
+    }
+    callIn(nowNanos, calls.repeat(settings.obligations().mustAskInNanos()));
+  }
+
+  private void call(long nowNanos) {
+    calling = true;
+    calledNanos = nowNanos;
+    actions.watch(true);
+  }
+
+  /** Discovery is to be asked at another address: at once, whatever was planned. */
+  void moved(long nowNanos) {
+    subscribed = false;
+    call(nowNanos);
+    callIn(nowNanos, calls.repeat(settings.obligations().mustAskInNanos()));
+  }
+
+  /** Discovery has said that the list is current. */
+  void confirmed(long nowNanos) {
+    if (lease != null) {
+      lease.confirmed(nowNanos);
+    }
+  }
+
+  /** Whether the list may be acted on. */
+  boolean current(long nowNanos) {
+    boolean valid = lease == null || lease.valid(nowNanos, settings.obligations());
+    if (valid == suspended) {
+      suspended = !valid;
+      actions.log(
+          valid
+              ? "list confirmed again, requests are sent"
+              : "list not confirmed for "
+                  + lease.ageNanos(nowNanos) / 1_000_000
+                  + " ms, nothing is sent until it is");
+    }
+    return valid;
+  }
+
+  /** A call has failed or a watch has broken: another call is planned. */
+  private void onFailure(long nowNanos, ListForm form) {
+    boolean called = calling;
+    subscribed = false;
+    calling = false;
+    if (lease != null) {
+      tellLease(nowNanos, form, called);
+    }
+    boolean waited = nowNanos - calledNanos > ListLease.PROMPT_NANOS;
+    boolean soon = called && (waited || form == ListForm.TURNED_AWAY);
+    callIn(nowNanos, soon ? calls.soon() : calls.afterFailure());
+  }
+
+  private void tellLease(long nowNanos, ListForm form, boolean called) {
+    if (!called) {
+      lease.broken();
+    } else if (form == ListForm.TURNED_AWAY) {
+      lease.turnedAway(calledNanos, nowNanos);
+    } else if (form == ListForm.CUT_SHORT) {
+      lease.cutShort();
+    } else {
+      lease.unanswered(calledNanos);
     }
-    long limit = settings.obligations().mustAskInNanos();
-    askIn(nowNanos, (long) (limit * ASK_AGAIN * (0.7 + 0.3 * random.nextDouble())));
   }
 
   /** Takes news; after a call that failed another is planned. */
   void onNews(long nowNanos, ListForm form, List<ServerEntry> entries) {
-    if (form == ListForm.BROKEN) {
-      subscribed = false;
-      calling = false;
-      long base = ASK_SOON_NANOS << Math.min(++failedAsks, MOST_DOUBLINGS);
-      askIn(nowNanos, (long) (base * (0.5 + random.nextDouble())));
+    if (form.failure()) {
+      onFailure(nowNanos, form);
       return;
     }
     if (form != ListForm.STALE && calling) {
       subscribed = true;
       calling = false;
-      failedAsks = 0;
+      calls.answered();
     }
     if (form != ListForm.CHANGES) {
       dropMissing(entries);
