A start counts from when it is told, whatever the two machines' clocks say

Need: a machine's wall clock may be stepped by an hour. Membership judged a slow start by this process's Unix time, read once at its start, against a time that discovery took from another machine: a cold server passed for warm or stayed cold. Now what a later list tells for the first time is cold from then on by the own clock; of the first list the newest start is held to be just now unless that takes over a third of the fleet; a start that is told as older is one too; one only presumed is taken back.

StartTimesTest 11, ListLeaseTest 12 green.

--- a/src/main/java/meadowtrack/core/Membership.java
+++ b/src/main/java/meadowtrack/core/Membership.java
@@ -30,6 +30,7 @@
   private int coldTurn;
   private double heaviest = 1;
   private final ListCalls calls;
+  private final StartTimes starts = new StartTimes();
 
   /** Null where a list holds until the next one comes. */
   private ListLease lease;
@@ -154,6 +155,7 @@
     if (form != ListForm.CHANGES) {
       dropMissing(entries);
     }
+    starts.onList(form, entries, settings.obligations().warmUpNanos());
     for (ServerEntry entry : entries) {
       apply(nowNanos, entry);
     }
@@ -201,7 +203,10 @@
 
   private void apply(long nowNanos, ServerEntry entry) {
     Server server = known.computeIfAbsent(entry.id(), Server::new);
-    boolean restarted = entry.startedNanos() > server.startedNanos;
+    boolean restarted =
+        entry.startedNanos() != server.startedNanos
+            && server.started(
+                entry.startedNanos(), nowNanos - starts.ageNanos(nowNanos, entry.startedNanos()));
     withdraw(server);
     server.describe(entry, settings.zone());
     if (restarted) {
@@ -227,7 +232,7 @@
 
   boolean coldNow(Server server, long nowNanos) {
     return server.startedNanos > 0
-        && nowNanos - server.startedNanos < settings.obligations().warmUpNanos();
+        && nowNanos - server.coldSinceNanos < settings.obligations().warmUpNanos();
   }
 
   /**
@@ -259,7 +264,7 @@
 
   private double capacityShare(Server server, long nowNanos) {
     double start = settings.obligations().startCapacity();
-    double age = (double) (nowNanos - server.startedNanos) / settings.obligations().warmUpNanos();
+    double age = (double) (nowNanos - server.coldSinceNanos) / settings.obligations().warmUpNanos();
     return start + (1 - start) * Math.max(0, Math.min(1, age));
   }
 }
--- a/src/main/java/meadowtrack/core/Server.java
+++ b/src/main/java/meadowtrack/core/Server.java
@@ -22,7 +22,15 @@
   boolean near;
   Part part = Part.ANY;
   Health health = Health.GONE;
+
+  /** As discovery tells it, by its own clock; 0 for long ago. */
   long startedNanos;
+
+  /** Since when it is cold, by this balancer's clock. */
+  long coldSinceNanos;
+
+  private long beforeStartedNanos = -1;
+  private long beforeColdSinceNanos;
   double weight = 1;
   int speaks;
 
@@ -56,10 +64,25 @@
     near = part == Part.OWN || zone == null || zone.equals(ownZone);
     health = entry.health();
     speaks = entry.speaks();
-    startedNanos = entry.startedNanos();
     weight = entry.weight() > 0 && entry.weight() < 1e9 ? entry.weight() : 1;
   }
 
+  /**
+   * Another time is told for its last start. One that stood before is no new start: it was only
+   * presumed to have restarted meanwhile.
+   *
+   * @return whether it is a new start
+   */
+  boolean started(long toNanos, long sinceNanos) {
+    boolean stoodBefore = toNanos == beforeStartedNanos;
+    long coldSince = stoodBefore ? beforeColdSinceNanos : sinceNanos;
+    beforeStartedNanos = startedNanos;
+    beforeColdSinceNanos = coldSinceNanos;
+    startedNanos = toNanos;
+    coldSinceNanos = coldSince;
+    return !stoodBefore;
+  }
+
   boolean resting(long nowNanos) {
     return restUntilNanos > nowNanos;
   }
--- /dev/null
+++ b/src/test/java/meadowtrack/core/StartTimesTest.java
@@ -0,0 +1,99 @@
+package meadowtrack.core;
+
+import static meadowtrack.core.Harness.SECOND;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import meadowtrack.api.Health;
+import meadowtrack.api.ListForm;
+import meadowtrack.api.ServerEntry;
+import meadowtrack.api.Settings;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Slow start where the clock of this machine, or that of discovery, has been stepped by a lot. */
+class StartTimesTest {
+  private static final long HOUR = 3600 * SECOND;
+  private static final long NOW = 100_000 * SECOND;
+
+  private final Settings settings = Harness.settings(0, Harness.safe("view"));
+  private final long warmUp = settings.obligations().warmUpNanos();
+  private final Membership members =
+      new Membership(settings, new Harness(settings), new SplittableRandom(1));
+
+  private static ServerEntry entry(long id, long startedNanos) {
+    return new ServerEntry(id, "a", "std", 1, Health.READY, 1, startedNanos);
+  }
+
+  private boolean cold(long id, long nowNanos) {
+    return members.coldNow(members.known.get(id), nowNanos);
+  }
+
+  /** Twelve that have run for long, and one that has just started by discovery's clock. */
+  private void tell(ListForm form, long nowNanos, long startedNanos) {
+    List<ServerEntry> entries = new ArrayList<>();
+    for (int id = 1; id <= 12; id++) {
+      entries.add(entry(id, startedNanos - HOUR / 2));
+    }
+    entries.add(entry(13, startedNanos));
+    members.onNews(nowNanos, form, entries);
+  }
+
+  /** Steps of the machine's own clock before its start, by so many seconds. */
+  @ParameterizedTest
+  @ValueSource(longs = {-3600, -7, 0, 7, 3600})
+  void whatTheFirstListTellsIsColdByTheNewestStart(long seconds) {
+    tell(ListForm.STALE, NOW, NOW - seconds * SECOND);
+    assertTrue(cold(13, NOW), "the newest");
+    assertFalse(cold(13, NOW + warmUp), "and for one warm-up only");
+    assertTrue(seconds < 0 || !cold(1, NOW), "those that have run for long");
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {-3600, 0, 3600})
+  void whatALaterListTellsIsColdFromThenOn(long seconds) {
+    tell(ListForm.WHOLE, NOW, 0);
+    long later = NOW + 30 * SECOND;
+    members.onNews(later, ListForm.CHANGES, List.of(entry(5, later + seconds * SECOND)));
+    assertTrue(cold(5, later));
+    assertTrue(cold(5, later + warmUp - 1));
+    assertFalse(cold(5, later + warmUp));
+  }
+
+  /** Discovery's own clock may be set back between two starts of one server. */
+  @Test
+  void aStartThatIsToldAsOlderIsAStart() {
+    tell(ListForm.WHOLE, NOW, NOW);
+    long later = NOW + HOUR;
+    members.onNews(later, ListForm.CHANGES, List.of(entry(13, NOW - HOUR)));
+    assertTrue(cold(13, later));
+  }
+
+  /** Presumed to have restarted while it was out of use, and then found not to have. */
+  @Test
+  void aPresumedStartThatIsTakenBackIsNoStart() {
+    tell(ListForm.WHOLE, NOW, NOW - HOUR);
+    long later = NOW + 60 * SECOND;
+    members.onNews(later, ListForm.CHANGES, List.of(entry(13, later)));
+    assertTrue(cold(13, later));
+    members.onNews(later + SECOND, ListForm.CHANGES, List.of(entry(13, NOW - HOUR)));
+    assertFalse(cold(13, later + SECOND));
+  }
+
+  /** Where all have started together, and long ago, nothing is presumed. */
+  @Test
+  void aFleetThatStartedTogetherIsWarm() {
+    List<ServerEntry> entries = new ArrayList<>();
+    for (int id = 1; id <= 10; id++) {
+      entries.add(entry(id, NOW - HOUR + id));
+    }
+    members.onNews(NOW, ListForm.STALE, entries);
+    for (int id = 1; id <= 10; id++) {
+      assertFalse(cold(id, NOW));
+    }
+  }
+}
