Calls for the list become rarer while they are turned away, and a series of reloads makes one

So a call that is turned away costs discovery something, and repeated fast by all it keeps the queue full: this is the root of the incident too, where four reloads in 2.6 s made up to four calls of each balancer and the failed ones were repeated after 0.2 and 0.4 s.

Change: waits after calls that are turned away are 1.5 s, doubled twice; after a new configuration one call is made 0.5 to 1.5 s later, 2 s after the first of a series at most.

--- a/src/main/java/loadrig/platform/ListService.java
+++ b/src/main/java/loadrig/platform/ListService.java
@@ -55,6 +55,9 @@
   private static final long HEARTBEAT_MILLIS = 2000;
   private static final int MOST_REQUEST_BYTES = 4096;
 
+  /** What a call that is turned away costs, as a part of one that is answered. */
+  private static final double TURNED_AWAY_COST = 0.2;
+
   /** A change of the list, and when discovery had it. */
   record Change(long revision, ListedMember member, long nanos) {}
 
@@ -189,6 +192,7 @@
     long now = System.nanoTime();
     long end = Math.max(now, busyUntilNanos) + callNanos;
     if (turnsAway || end - now > MILLISECONDS.toNanos(CALL_TIMEOUT_MILLIS)) {
+      busyUntilNanos = Math.max(now, busyUntilNanos) + (long) (TURNED_AWAY_COST * callNanos);
       return -1;
     }
     busyUntilNanos = end;
--- a/src/main/java/meadowtrack/core/ListCalls.java
+++ b/src/main/java/meadowtrack/core/ListCalls.java
@@ -3,9 +3,11 @@
 import java.util.SplittableRandom;
 
 /**
- * When discovery is called next. One call at a time, and the next one soon: the list has to be
- * confirmed within seconds, a call that is taken may wait for three of them, and one that is turned
- * away costs discovery next to nothing while a free place in its queue is gone in a moment.
+ * When discovery is called next. One call at a time, and the calls of all balancers together are a
+ * load of their own: also one that is turned away costs discovery a part of an answer, so that
+ * balancers which repeat their calls several times a second keep a full queue full for good. The
+ * waits after calls that are turned away therefore double until even calls that cost as much as
+ * answers would let the queue drain.
  */
 final class ListCalls {
   /** Part of the time limit over which instances spread their first call. */
@@ -14,16 +16,33 @@
   /** Part of the time limit after which a call that nothing was heard of is repeated. */
   static final double REPEAT = 0.9;
 
-  /** Mean wait after a call that was turned away, or that has waited long. */
-  static final long SOON_NANOS = 200_000_000L;
+  /** Mean wait after the first call that failed at once, or after a watch that broke. */
+  static final long FAILED_NANOS = 500_000_000L;
 
-  /** Mean wait after the first call that failed at once, doubled with each further one. */
-  static final long FAILED_NANOS = 250_000_000L;
+  /** Mean wait after the first call that was turned away. */
+  static final long TURNED_AWAY_NANOS = 1_500_000_000L;
 
+  /** Both are doubled with each further one, so often at most. */
   static final int MOST_DOUBLINGS = 2;
 
+  /**
+   * Mean wait after a call that ended after seconds in vain: they were a wait already, and the next
+   * call may wait for as long again before it is answered.
+   */
+  static final long WAITED_NANOS = 700_000_000L;
+
+  /**
+   * Mean wait after a new configuration. Others may follow it at once, all balancers get theirs
+   * together, and the list of before holds meanwhile.
+   */
+  static final long SETTLE_NANOS = 1_000_000_000L;
+
+  /** A series of new configurations puts the call off for so long at most. */
+  static final long MOST_SETTLE_NANOS = 2_000_000_000L;
+
   private final SplittableRandom random;
   private int failedInRow;
+  private int turnedAwayInRow;
 
   ListCalls(SplittableRandom random) {
     this.random = random;
@@ -39,9 +58,14 @@
     return (long) (limitNanos * REPEAT * (0.7 + 0.3 * random.nextDouble()));
   }
 
-  /** The wait after a call that was turned away, or that ended after a long wait. */
-  long soon() {
-    return jittered(SOON_NANOS);
+  /** The wait after a call that was turned away. */
+  long afterTurnedAway() {
+    return jittered(TURNED_AWAY_NANOS << Math.min(turnedAwayInRow++, MOST_DOUBLINGS));
+  }
+
+  /** The wait after a call that ended after a long wait. */
+  long afterWait() {
+    return jittered(WAITED_NANOS);
   }
 
   /** The wait after a call that failed at once, or after a watch that broke. */
@@ -49,9 +73,15 @@
     return jittered(FAILED_NANOS << Math.min(failedInRow++, MOST_DOUBLINGS));
   }
 
+  /** The wait after a new configuration, the first of its series so long ago. */
+  long settle(long sinceFirstNanos) {
+    return Math.max(0, Math.min(jittered(SETTLE_NANOS), MOST_SETTLE_NANOS - sinceFirstNanos));
+  }
+
   /** A call was answered. */
   void answered() {
     failedInRow = 0;
+    turnedAwayInRow = 0;
   }
 
   private long jittered(long meanNanos) {
--- a/src/main/java/meadowtrack/core/Membership.java
+++ b/src/main/java/meadowtrack/core/Membership.java
@@ -37,6 +37,11 @@
 
   private boolean subscribed;
   private boolean calling;
+
+  /** Whether discovery has another address since movedNanos and was not called there yet. */
+  private boolean moving;
+
+  private long movedNanos;
   private boolean suspended;
   private long calledNanos;
   private long callDueNanos;
@@ -82,16 +87,21 @@
   }
 
   private void call(long nowNanos) {
+    moving = false;
     calling = true;
     calledNanos = nowNanos;
     actions.watch(true);
   }
 
-  /** Discovery is to be asked at another address: at once, whatever was planned. */
+  /** Discovery is to be asked at another address, where nobody is asked yet. */
   void moved(long nowNanos) {
+    if (!moving) {
+      moving = true;
+      movedNanos = nowNanos;
+    }
     subscribed = false;
-    call(nowNanos);
-    callIn(nowNanos, calls.repeat(settings.obligations().mustAskInNanos()));
+    calling = false;
+    callIn(nowNanos, calls.settle(nowNanos - movedNanos));
   }
 
   /** Discovery has said that the list is current. */
@@ -124,9 +134,16 @@
     if (lease != null) {
       tellLease(nowNanos, form, called);
     }
-    boolean waited = nowNanos - calledNanos > ListLease.PROMPT_NANOS;
-    boolean soon = called && (waited || form == ListForm.TURNED_AWAY);
-    callIn(nowNanos, soon ? calls.soon() : calls.afterFailure());
+    if (!moving) {
+      callIn(nowNanos, waitAfter(form, called, nowNanos - calledNanos));
+    }
+  }
+
+  private long waitAfter(ListForm form, boolean called, long tookNanos) {
+    if (called && tookNanos > ListLease.PROMPT_NANOS) {
+      return calls.afterWait();
+    }
+    return called && form == ListForm.TURNED_AWAY ? calls.afterTurnedAway() : calls.afterFailure();
   }
 
   private void tellLease(long nowNanos, ListForm form, boolean called) {
--- /dev/null
+++ b/src/test/java/meadowtrack/core/ListHerdTest.java
@@ -0,0 +1,113 @@
+package meadowtrack.core;
+
+import static meadowtrack.core.Harness.MS;
+import static meadowtrack.core.Harness.SECOND;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import meadowtrack.api.ListForm;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Many balancers lose their watches at once while discovery is busy: their calls for the list may
+ * not keep its queue full, whatever a call costs that is turned away.
+ */
+class ListHerdTest {
+  private static final long STEP = 5 * MS;
+  private static final long TIMEOUT = 3 * SECOND;
+
+  /**
+   * One service for all: calls wait in turn, and one whose answer would take too long is refused.
+   */
+  private static final class Queue {
+    private final long callNanos;
+    private final double turnedAwayCost;
+    private long busyUntil;
+    private int calls;
+
+    Queue(long callNanos, double turnedAwayCost, long busyUntil) {
+      this.callNanos = callNanos;
+      this.turnedAwayCost = turnedAwayCost;
+      this.busyUntil = busyUntil;
+    }
+
+    /** When the call is answered, or -1. */
+    long call(long now) {
+      calls++;
+      long end = Math.max(now, busyUntil) + callNanos;
+      if (end - now > TIMEOUT) {
+        busyUntil = Math.max(now, busyUntil) + (long) (turnedAwayCost * callNanos);
+        return -1;
+      }
+      busyUntil = end;
+      return end;
+    }
+  }
+
+  private static final class Instance {
+    private final Harness harness;
+    private int calls;
+    private long answerAt = Long.MAX_VALUE;
+    private long answeredAt = -1;
+
+    Instance(int number) {
+      harness = new Harness(Harness.settings(0, true, true, Harness.safe("read")), number);
+      harness.advance(7 * SECOND);
+      harness.readyServers(3);
+      harness.balancer.limitListAge(harness.now, 6 * SECOND);
+      harness.balancer.onListConfirmed(harness.now);
+      calls = harness.watches;
+      harness.balancer.onServers(harness.now, ListForm.BROKEN, List.of());
+    }
+
+    void step(Queue queue) {
+      harness.advance(STEP);
+      if (harness.watches > calls) {
+        calls = harness.watches;
+        answerAt = queue.call(harness.now);
+        if (answerAt < 0) {
+          answerAt = Long.MAX_VALUE;
+          harness.balancer.onServers(harness.now, ListForm.TURNED_AWAY, List.of());
+        }
+      }
+      if (harness.now >= answerAt && answeredAt < 0) {
+        answeredAt = harness.now;
+        harness.balancer.onServers(harness.now, ListForm.CHANGES, List.of());
+        harness.balancer.onListConfirmed(harness.now);
+      }
+    }
+  }
+
+  /**
+   * All are answered within a time.
+   *
+   * @param allMillis in which it can answer one call of each
+   * @param cost of a call that is turned away, as a part of one that is answered
+   * @param busyMillis of work that lies in its queue at the beginning
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "5, 4000, 0.1, 7000, 20",
+    "5, 4000, 0.25, 7000, 25",
+    "5, 8000, 0.25, 7000, 40",
+    "40, 4000, 0.25, 7000, 25",
+    "40, 8000, 0.25, 7000, 40",
+    "40, 4000, 1.0, 7000, 60",
+  })
+  void theQueueDrainsAndAllAreAnswered(
+      int instances, long allMillis, double cost, long busyMillis, long withinSeconds) {
+    List<Instance> all = new ArrayList<>();
+    for (int i = 0; i < instances; i++) {
+      all.add(new Instance(i));
+    }
+    long began = all.get(0).harness.now;
+    Queue queue = new Queue(allMillis * MS / instances, cost, began + busyMillis * MS);
+    while (all.get(0).harness.now < began + withinSeconds * SECOND) {
+      all.forEach(instance -> instance.step(queue));
+    }
+    long waiting = all.stream().filter(instance -> instance.answeredAt < 0).count();
+    assertTrue(waiting == 0, waiting + " not answered, " + queue.calls + " calls");
+  }
+}
