A failed accept pauses a listener for milliseconds, and no clock that is set decides over processes

Operations judged marks and what a process beside it holds by System.currentTimeMillis(): marks go by the node's own clock now, and another process lives while its file is seen to change (2 s by a monotonic clock).

--- a/src/main/java/maplehall/operations/Generation.java
+++ b/src/main/java/maplehall/operations/Generation.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
 import java.util.HashMap;
 import java.util.Map;
 import maplehall.runtime.Log;
@@ -18,11 +19,17 @@
   private static final String PREFIX = "process-";
 
   /** One that has said nothing for so long has ended. */
-  static final long SILENT_MILLIS = 2000;
+  static final long SILENT_NANOS = 2_000_000_000L;
+
+  /** What another process said last, and when this one saw that for the first time. */
+  private record Sign(FileTime written, long seenNanos) {}
 
   private final Path folder;
   private final int number;
 
+  /** The newest sign of each other process that has a file here. */
+  private final Map<Integer, Sign> signs = new HashMap<>();
+
   /** Follows on whatever the folder shows; null for no folder. */
   public Generation(Path folder) {
     this.folder = folder;
@@ -51,20 +58,34 @@
     }
   }
 
-  /** Descriptors that other processes of this balancer hold, as far as they have said. */
-  public int heldElsewhere(long nowMillis) {
+  /**
+   * Descriptors that other processes of this balancer hold, as far as they have said. Whether one
+   * still lives is judged by when its file was seen to change: the times of files are of a clock
+   * that may be set.
+   *
+   * @param nowNanos of a clock that cannot be set
+   */
+  public int heldElsewhere(long nowNanos) {
     int held = 0;
-    for (Map.Entry<Integer, Path> other : processes().entrySet()) {
+    Map<Integer, Path> processes = processes();
+    signs.keySet().retainAll(processes.keySet());
+    for (Map.Entry<Integer, Path> other : processes.entrySet()) {
       if (other.getKey() != number) {
-        held += held(other.getValue(), nowMillis);
+        held += held(other.getKey(), other.getValue(), nowNanos);
       }
     }
     return held;
   }
 
-  private static int held(Path file, long nowMillis) {
+  private int held(int other, Path file, long nowNanos) {
     try {
-      if (nowMillis - Files.getLastModifiedTime(file).toMillis() >= SILENT_MILLIS) {
+      FileTime written = Files.getLastModifiedTime(file);
+      Sign sign = signs.get(other);
+      if (sign == null || !sign.written().equals(written)) {
+        sign = new Sign(written, nowNanos);
+        signs.put(other, sign);
+      }
+      if (nowNanos - sign.seenNanos() >= SILENT_NANOS) {
         return 0;
       }
       String said = Files.readString(file); // Empty while it is being written.
--- a/src/main/java/maplehall/operations/Operations.java
+++ b/src/main/java/maplehall/operations/Operations.java
@@ -29,7 +29,7 @@
 
   private final Node node;
   private final Generation generation;
-  private final Standings standings = new Standings();
+  private final Standings standings;
   private final Marks marks;
   private final Console console;
   private final ScheduledThreadPoolExecutor files;
@@ -54,9 +54,10 @@
               thread.setDaemon(true);
               return thread;
             });
+    standings = new Standings(node::nowMillis);
     node.dispatcher().overlay(standings);
     node.shutdown().followed(generation::followed);
-    standings.update(marks.read(System.currentTimeMillis()), node.dispatcher());
+    standings.update(marks.read(node.nowMillis()), node.dispatcher());
   }
 
   /** Whether another process serves this balancer when this one starts. */
@@ -66,7 +67,7 @@
 
   /** Opens the console; fails if the address cannot be had. Must not be called on the loop. */
   public void start(InetSocketAddress address) throws InterruptedException {
-    int held = generation.heldElsewhere(System.currentTimeMillis());
+    int held = generation.heldElsewhere(System.nanoTime());
     node.loop().execute(() -> node.budget().heldElsewhere(held));
     console.start(address);
     files.scheduleWithFixedDelay(this::poll, POLL_MILLIS, POLL_MILLIS, MILLISECONDS);
@@ -91,8 +92,8 @@
 
   private void poll() {
     try {
-      Map<String, Mark> now = marks.read(System.currentTimeMillis());
-      int held = generation.heldElsewhere(System.currentTimeMillis());
+      Map<String, Mark> now = marks.read(node.nowMillis());
+      int held = generation.heldElsewhere(System.nanoTime());
       if (serving) {
         generation.serving(holds);
       }
@@ -112,7 +113,7 @@
 
   private void write(String id, boolean out, Consumer<HttpResponseStatus> done) {
     HttpResponseStatus status = HttpResponseStatus.OK;
-    long now = System.currentTimeMillis();
+    long now = node.nowMillis();
     try {
       if (out) {
         marks.suspend(id, now);
--- a/src/main/java/maplehall/operations/Standings.java
+++ b/src/main/java/maplehall/operations/Standings.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongSupplier;
 import maplehall.dispatch.Dispatcher;
 import maplehall.dispatch.Member;
 import meadowtrack.api.Health;
@@ -15,15 +16,22 @@
 final class Standings implements Dispatcher.Overlay {
   private final Rotation rotation = new Rotation();
 
+  /** Unix time that goes on evenly when the machine's clock is set. */
+  private final LongSupplier clockMillis;
+
   /** As discovery listed them last; as long as its list. */
   private final Map<String, Member> listed = new HashMap<>();
 
+  Standings(LongSupplier clockMillis) {
+    this.clockMillis = clockMillis;
+  }
+
   @Override
   public List<Member> over(ListForm form, List<Member> entries) {
     if (form != ListForm.CHANGES) {
       listed.clear();
     }
-    long now = System.currentTimeMillis();
+    long now = clockMillis.getAsLong();
     List<Member> laidOver = new ArrayList<>(entries.size());
     for (Member entry : entries) {
       if (entry.health() == Health.GONE) {
@@ -44,7 +52,7 @@
 
   /** Takes the marks as they are now and tells the dispatcher of whatever that changes. */
   void update(Map<String, Mark> marks, Dispatcher dispatcher) {
-    long now = System.currentTimeMillis();
+    long now = clockMillis.getAsLong();
     List<Member> changed = new ArrayList<>();
     for (String id : rotation.update(marks, now)) {
       Member entry = listed.get(id);
--- a/src/main/java/maplehall/runtime/Listeners.java
+++ b/src/main/java/maplehall/runtime/Listeners.java
@@ -24,6 +24,7 @@
         .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .handler(new AcceptRetry())
         .childHandler(
             new ChannelInitializer<Channel>() {
               @Override
--- a/src/test/java/maplehall/operations/GenerationTest.java
+++ b/src/test/java/maplehall/operations/GenerationTest.java
@@ -6,8 +6,11 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Processes of one balancer know of one another by the folder that they share. */
 class GenerationTest {
@@ -38,10 +41,27 @@
     second.serving(50);
     Files.writeString(folder.resolve("process-x"), "none");
     Files.writeString(folder.resolve("process-9"), "");
-    long now = Files.getLastModifiedTime(folder.resolve("process-1")).toMillis();
-    assertEquals(60, second.heldElsewhere(now));
-    assertEquals(50, first.heldElsewhere(now));
-    assertEquals(0, second.heldElsewhere(now + 60_000));
+    assertEquals(60, second.heldElsewhere(0));
+    assertEquals(50, first.heldElsewhere(0));
+    assertEquals(60, second.heldElsewhere(Generation.SILENT_NANOS - 1));
+    assertEquals(0, second.heldElsewhere(Generation.SILENT_NANOS));
+  }
+
+  /** The machine's clock is set by an hour, forward or back, while both live; then one ends. */
+  @ParameterizedTest
+  @ValueSource(longs = {-3600, 3600})
+  void aClockThatIsSetChangesNothing(long seconds) throws Exception {
+    Generation first = new Generation(folder);
+    first.serving(60);
+    Generation second = new Generation(folder);
+    assertEquals(60, second.heldElsewhere(0));
+    Path file = folder.resolve("process-1");
+    long written = Files.getLastModifiedTime(file).toMillis();
+    long now = Generation.SILENT_NANOS - 1;
+    Files.setLastModifiedTime(file, FileTime.fromMillis(written + seconds * 1000));
+    assertEquals(60, second.heldElsewhere(now), "it has written by the clock that was set");
+    assertEquals(60, second.heldElsewhere(now + Generation.SILENT_NANOS - 1));
+    assertEquals(0, second.heldElsewhere(now + Generation.SILENT_NANOS), "it has ended");
   }
 
   @Test
