A start that a later list tells is as old as the clocks say, within the span since the list before

Cold servers were held to be younger than they are by the time that discovery takes to tell of them. Now the two clocks are believed within 3 s and the time since discovery last spoke, and beyond it the start is just now.

--- a/src/main/java/meadowtrack/core/Membership.java
+++ b/src/main/java/meadowtrack/core/Membership.java
@@ -106,6 +106,7 @@
 
   /** Discovery has said that the list is current. */
   void confirmed(long nowNanos) {
+    starts.heard(nowNanos);
     if (lease != null) {
       lease.confirmed(nowNanos);
     }
@@ -172,7 +173,7 @@
     if (form != ListForm.CHANGES) {
       dropMissing(entries);
     }
-    starts.onList(form, entries, settings.obligations().warmUpNanos());
+    starts.onList(nowNanos, form, entries, settings.obligations().warmUpNanos());
     for (ServerEntry entry : entries) {
       apply(nowNanos, entry);
     }
--- a/src/test/java/meadowtrack/core/StartTimesTest.java
+++ b/src/test/java/meadowtrack/core/StartTimesTest.java
@@ -54,16 +54,30 @@
   }
 
   @ParameterizedTest
-  @ValueSource(longs = {-3600, 0, 3600})
+  @ValueSource(longs = {-3600, -60, -7, 0, 3600})
   void whatALaterListTellsIsColdFromThenOn(long seconds) {
     tell(ListForm.WHOLE, NOW, 0);
     long later = NOW + 30 * SECOND;
+    members.confirmed(later - SECOND);
     members.onNews(later, ListForm.CHANGES, List.of(entry(5, later + seconds * SECOND)));
     assertTrue(cold(5, later));
     assertTrue(cold(5, later + warmUp - 1));
     assertFalse(cold(5, later + warmUp));
   }
 
+  /** Where the clocks agree, a server is not held to be colder than it is. */
+  @ParameterizedTest
+  @ValueSource(longs = {0, 1, 2, 3})
+  void aStartSinceTheListBeforeIsAsOldAsTheClocksSay(long seconds) {
+    tell(ListForm.WHOLE, NOW, 0);
+    long later = NOW + 30 * SECOND;
+    members.confirmed(later - SECOND);
+    members.onNews(later, ListForm.CHANGES, List.of(entry(5, later - seconds * SECOND)));
+    long warm = later - seconds * SECOND + warmUp;
+    assertTrue(cold(5, warm - 1));
+    assertFalse(cold(5, warm));
+  }
+
   /** Discovery's own clock may be set back between two starts of one server. */
   @Test
   void aStartThatIsToldAsOlderIsAStart() {
