--- a/src/main/java/loadrig/Main.java
+++ b/src/main/java/loadrig/Main.java
@@ -8,6 +8,7 @@
 import loadrig.measure.GrpcMeasurement;
 import loadrig.measure.Measurement;
 import loadrig.measure.MembersMeasurement;
+import loadrig.platform.SoakMeasurement;
 import loadrig.subsets.SubsetsMeasurement;
 import loadrig.work.WorkMeasurement;
 
@@ -26,7 +27,9 @@
           "work",
           new WorkMeasurement(),
           "subsets",
-          new SubsetsMeasurement());
+          new SubsetsMeasurement(),
+          "soak",
+          new SoakMeasurement());
 
   private Main() {}
 
--- a/src/main/java/loadrig/platform/PlatformFleet.java
+++ b/src/main/java/loadrig/platform/PlatformFleet.java
@@ -60,12 +60,25 @@
     discovery.list(discovery.member(id).with(ListedMember.Phase.TERMINATING));
   }
 
+  /** A server is gone: nothing listens there any more, and discovery knows. */
+  public void remove(String id) {
+    servers.get(id).close();
+    discovery.list(discovery.member(id).with(ListedMember.Phase.TERMINATED));
+  }
+
   public StandIn server(String id) {
     return servers.get(id);
   }
 
-  public List<String> serverIds() {
-    return List.copyOf(servers.keySet());
+  /** Those that discovery lists as in service. */
+  public List<String> inService() {
+    return servers.keySet().stream()
+        .filter(
+            id -> {
+              ListedMember member = discovery.member(id);
+              return member != null && member.phase() == ListedMember.Phase.IN_SERVICE;
+            })
+        .toList();
   }
 
   // ---- balancers ----
@@ -73,15 +86,19 @@
   /** Starts so many balancers, one after another. */
   public PlatformFleet start(int count) throws IOException, InterruptedException {
     for (int i = 0; i < count; i++) {
-      PlatformProcess balancer = new PlatformProcess("n" + i);
-      balancers.add(balancer);
-      configure(balancer);
-      balancer.start();
+      restart(add());
     }
     return this;
   }
 
-  /** Starts one again that has ended; how long it took to be ready, in milliseconds. */
+  /** One more balancer, whose process has not been started yet. */
+  public PlatformProcess add() throws IOException {
+    PlatformProcess balancer = new PlatformProcess("n" + balancers.size());
+    balancers.add(balancer);
+    return balancer;
+  }
+
+  /** Starts one that does not run; how long it took to be ready, in milliseconds. */
   public long restart(PlatformProcess balancer) throws IOException, InterruptedException {
     configure(balancer);
     return balancer.start();
@@ -128,10 +145,23 @@
             200,
             seed++,
             ledger);
-    routing.loads(balancer.name(), load);
+    routing.loads(balancer.name(), load::owns);
     return load.start();
   }
 
+  /** Clients of one balancer that use what stays open, also while it ends. */
+  public SteadyLoad steadyLoad(PlatformProcess balancer, double perSecond) {
+    SteadyLoad load =
+        new SteadyLoad(
+            clientLoops.next(), balancer.listen(), perSecond, terms.deadlineMillis(), seed++);
+    routing.loads(balancer.name(), load::owns);
+    return load.start();
+  }
+
+  public Terms terms() {
+    return terms;
+  }
+
   public Ledger ledger() {
     return ledger;
   }
--- a/src/main/java/loadrig/platform/PlatformProcess.java
+++ b/src/main/java/loadrig/platform/PlatformProcess.java
@@ -45,11 +45,9 @@
     return listen;
   }
 
-  /**
-   * A variable of the environment of its next process, a library to be loaded before others say.
-   */
-  public void environment(String variable, String value) {
-    environment.put(variable, value);
+  /** Variables of the environment of its next processes, beside those that the platform sets. */
+  public void environment(Map<String, String> variables) {
+    environment.putAll(variables);
   }
 
   /** What its configuration says at its next start or SIGHUP. */
--- a/src/main/java/loadrig/platform/RoutingRecord.java
+++ b/src/main/java/loadrig/platform/RoutingRecord.java
@@ -4,7 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import loadrig.client.OpenLoop;
+import java.util.function.Predicate;
 import loadrig.server.StandIn;
 
 /** Which request reached which server when, held against what discovery had told. Any thread. */
@@ -15,16 +15,19 @@
   /** Of each time limit of the rules on sockets, and what this rig may see late. */
   private static final long SLACK_NANOS = 100_000_000L;
 
+  private record Load(String balancer, Predicate<String> owns) {}
+
   private record Arrival(String server, String path, long nanos) {}
 
   /** A request to a server that drained or had gone, so long after its balancer was told. */
   public record LateSend(String balancer, String server, String path, double secondsAfterTold) {}
 
   private final List<Arrival> arrivals = new ArrayList<>();
-  private final Map<OpenLoop, String> balancerOf = new HashMap<>();
+  private final List<Load> loads = new ArrayList<>();
 
-  synchronized void loads(String balancer, OpenLoop load) {
-    balancerOf.put(load, balancer);
+  /** Requests whose paths are told apart by a load come from a balancer. */
+  synchronized void loads(String balancer, Predicate<String> owns) {
+    loads.add(new Load(balancer, owns));
   }
 
   @Override
@@ -57,9 +60,9 @@
   }
 
   private String balancer(String path) {
-    for (Map.Entry<OpenLoop, String> each : balancerOf.entrySet()) {
-      if (each.getKey().owns(path)) {
-        return each.getValue();
+    for (Load load : loads) {
+      if (load.owns().test(path)) {
+        return load.balancer();
       }
     }
     return null;
--- /dev/null
+++ b/src/main/java/loadrig/platform/Soak.java
@@ -0,0 +1,407 @@
+package loadrig.platform;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import loadrig.server.ServiceTime;
+import loadrig.server.Shape;
+
+/**
+ * One run of processes under faults that a seed draws: discovery that is down, busy or forgetful,
+ * servers that drain, join, die, hang or fail, signals in series, clocks that are stepped, calls of
+ * the system that fail, idle clients that crowd in. SIGKILL comes at the earliest moment that the
+ * platform allows, and clients use what is open until then. Afterwards the rules are checked.
+ */
+public final class Soak {
+  /**
+   * What was found.
+   *
+   * @param faults the schedule as it was played
+   * @param breaks what broke a rule; empty if all held
+   */
+  public record Result(
+      long seed,
+      List<String> faults,
+      List<String> breaks,
+      SteadyLoad.Counts counts,
+      long slowestStartMillis) {}
+
+  /** SIGKILL comes so long after the longest deadline, of these at most, at the earliest. */
+  private static final long KILL_MILLIS = 700;
+
+  private static final long MOST_DEADLINE_MILLIS = 3000;
+  private static final long RUN_MILLIS = 18_000;
+  private static final long LAST_FAULT_MILLIS = 12_000;
+  private static final long SETTLE_MILLIS = 15_000;
+  private static final int MOST_NAMED = 5;
+
+  private final long seed;
+  private final SplittableRandom random;
+  private final PlatformFleet fleet;
+  private final Map<PlatformProcess, SystemFaults> systems = new HashMap<>();
+  private final Map<PlatformProcess, SteadyLoad> loads = new HashMap<>();
+  private final List<SteadyLoad> ended = new ArrayList<>();
+
+  /** Those that have been told to end and are not back yet. */
+  private final Set<PlatformProcess> ending = ConcurrentHashMap.newKeySet();
+
+  private final List<CompletableFuture<Void>> running = new ArrayList<>();
+  private final List<Socket> crowd = new ArrayList<>();
+  private final List<String> faults = new ArrayList<>();
+  private final List<String> breaks = new ArrayList<>();
+  private final int balancers;
+  private final double perSecond;
+  private long beganNanos;
+  private long slowestStartMillis;
+
+  private Soak(long seed) {
+    this.seed = seed;
+    random = new SplittableRandom(seed);
+    balancers = random.nextInt(2, 5);
+    perSecond = random.nextInt(15, 40);
+    long deadline = random.nextInt(600, 4000);
+    ServiceTime time = ServiceTime.exponential(random.nextInt(10, 60));
+    fleet = new PlatformFleet(seed, new Terms(deadline, 2000, 512), Shape.warm(8, 32, time));
+  }
+
+  /** Plays one seed. */
+  public static Result play(long seed) throws Exception {
+    Soak soak = new Soak(seed);
+    try {
+      return soak.play();
+    } finally {
+      soak.close();
+    }
+  }
+
+  private Result play() throws Exception {
+    int servers = random.nextInt(4, 8);
+    for (int i = 0; i < servers; i++) {
+      fleet.addServer(false);
+    }
+    fleet.discovery().load(random.nextInt(20, 400), 0);
+    for (int i = 0; i < balancers; i++) {
+      SystemFaults system = new SystemFaults();
+      PlatformProcess balancer = fleet.add();
+      balancer.environment(system.environment());
+      systems.put(balancer, system);
+      fleet.restart(balancer);
+      loads.put(balancer, fleet.steadyLoad(balancer, perSecond));
+    }
+    beganNanos = System.nanoTime();
+    playFaults();
+    sleepUntil(RUN_MILLIS);
+    for (CompletableFuture<Void> each : running) {
+      each.get(60, TimeUnit.SECONDS);
+    }
+    finish();
+    return result();
+  }
+
+  // ---- the schedule ----
+
+  private void playFaults() throws Exception {
+    int count = random.nextInt(3, 8);
+    List<Long> times = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      times.add(random.nextLong(500, LAST_FAULT_MILLIS));
+    }
+    times.sort(null);
+    for (long time : times) {
+      sleepUntil(time);
+      SoakFault fault = SoakFault.values()[random.nextInt(SoakFault.values().length)];
+      begin(fault);
+    }
+  }
+
+  private void note(String text) {
+    faults.add(String.format("%.2f %s", (System.nanoTime() - beganNanos) / 1e9, text));
+  }
+
+  private PlatformProcess anyBalancer() {
+    return fleet.balancers().get(random.nextInt(balancers));
+  }
+
+  private String anyServer() {
+    List<String> ids = fleet.inService();
+    return ids.get(random.nextInt(ids.size()));
+  }
+
+  /** Begins a fault; what takes its time goes on by itself. */
+  private void begin(SoakFault fault) throws Exception {
+    ListService discovery = fleet.discovery();
+    long span = random.nextLong(1500, 9000);
+    switch (fault) {
+      case DISCOVERY_DOWN -> {
+        note("discovery down for " + span);
+        discovery.down(true);
+        later(span, () -> discovery.down(false));
+      }
+      case DISCOVERY_TURNS_AWAY -> {
+        note("discovery turns calls away for " + span);
+        discovery.turnAway(true);
+        discovery.resetWatches();
+        later(span, () -> discovery.turnAway(false));
+      }
+      case DISCOVERY_OCCUPIED -> {
+        note("discovery has work of others for " + span);
+        discovery.occupy(span);
+        discovery.resetWatches();
+      }
+      case WATCHES_RESET -> {
+        note("watches reset");
+        discovery.resetWatches();
+      }
+      case WATCHES_SILENT -> {
+        note("watches silent");
+        discovery.silenceWatches();
+      }
+      case SERVER_DRAINS -> drain();
+      case SERVER_JOINS -> note("joins " + fleet.addServer(true));
+      case SERVER_DIES -> die();
+      case SERVER_HANGS -> {
+        String id = anyServer();
+        note("hangs " + id + " for " + span);
+        fleet.server(id).faults().silent(true);
+        later(span, () -> fleet.server(id).faults().silent(false));
+      }
+      case SERVER_RESETS -> {
+        String id = anyServer();
+        note("resets " + id + " for " + span);
+        fleet.server(id).faults().resets(0.3);
+        later(span, () -> fleet.server(id).faults().resets(0));
+      }
+      case RECONFIGURED -> reconfigure();
+      case RESTARTED -> restart(anyBalancer());
+      case HELD_UP -> {
+        PlatformProcess balancer = anyBalancer();
+        note("held up " + balancer.name());
+        balancer.signal("STOP");
+        later(random.nextLong(50, 150), () -> balancer.signal("CONT"));
+      }
+      case CLOCK_STEPPED -> {
+        PlatformProcess balancer = anyBalancer();
+        long[] steps = {-3_600_000, -7000, 7000, 3_600_000};
+        long step = steps[random.nextInt(steps.length)];
+        note("clock of " + balancer.name() + " off by " + step);
+        systems.get(balancer).setWallClock(step);
+      }
+      case CALLS_FAIL -> failCalls();
+      case CROWD -> crowd();
+      default -> throw new IllegalStateException(fault.toString());
+    }
+  }
+
+  private void drain() throws Exception {
+    if (fleet.inService().size() < 3) {
+      return;
+    }
+    String id = anyServer();
+    note("drains " + id);
+    fleet.drain(id);
+  }
+
+  private void die() throws Exception {
+    if (fleet.inService().size() < 3) {
+      return;
+    }
+    String id = anyServer();
+    note("dies " + id);
+    fleet.remove(id);
+  }
+
+  /** New configurations to all or one, in a series. */
+  private void reconfigure() throws Exception {
+    List<PlatformProcess> told = random.nextBoolean() ? fleet.balancers() : List.of(anyBalancer());
+    int times = random.nextInt(1, 5);
+    note("new configurations, " + times + " to " + told.size());
+    for (int i = 0; i < times; i++) {
+      for (PlatformProcess balancer : told) {
+        if (balancer.alive() && !ending.contains(balancer)) {
+          fleet.reconfigure(balancer);
+        }
+      }
+      Thread.sleep(random.nextLong(20, 500));
+    }
+  }
+
+  /** SIGTERM, with other signals around it, SIGKILL at the earliest moment, and a new process. */
+  private void restart(PlatformProcess balancer) throws Exception {
+    if (!ending.add(balancer)) {
+      return;
+    }
+    SteadyLoad load = loads.get(balancer);
+    boolean hangUpBefore = random.nextBoolean();
+    boolean again = random.nextBoolean();
+    boolean hangUpAfter = random.nextBoolean();
+    note("restarted " + balancer.name() + (again ? ", TERM twice" : ""));
+    long kill = Math.min(fleet.terms().deadlineMillis(), MOST_DEADLINE_MILLIS) + KILL_MILLIS;
+    running.add(
+        CompletableFuture.runAsync(
+            () -> {
+              try {
+                if (hangUpBefore) {
+                  balancer.signal("HUP");
+                }
+                long signalled = System.nanoTime();
+                balancer.signal("TERM");
+                if (hangUpAfter) {
+                  balancer.signal("HUP");
+                }
+                if (again) {
+                  balancer.signal("TERM");
+                }
+                long left = kill - (System.nanoTime() - signalled) / 1_000_000;
+                int code = balancer.awaitEnd(Math.max(0, left));
+                if (code < 0) {
+                  load.killed();
+                  balancer.kill();
+                } else if (code != 0) {
+                  broke(balancer.name() + " ended with " + code);
+                }
+                load.stop();
+                long took = fleet.restart(balancer);
+                synchronized (this) {
+                  slowestStartMillis = Math.max(slowestStartMillis, took);
+                  ended.add(load);
+                  loads.put(balancer, fleet.steadyLoad(balancer, perSecond));
+                }
+                ending.remove(balancer);
+              } catch (IOException | InterruptedException e) {
+                broke(balancer.name() + ": " + e);
+              }
+            }));
+  }
+
+  private void failCalls() {
+    PlatformProcess balancer = anyBalancer();
+    SystemFaults.Errno[] accepts = {SystemFaults.Errno.ENFILE, SystemFaults.Errno.ENOBUFS};
+    SystemFaults.Errno[] connects = {
+      SystemFaults.Errno.EADDRNOTAVAIL, SystemFaults.Errno.ENETUNREACH
+    };
+    int times = random.nextInt(1, 6);
+    note("calls fail at " + balancer.name() + ", " + times);
+    SystemFaults system = systems.get(balancer);
+    system.fail(SystemFaults.Call.ACCEPT, accepts[random.nextInt(2)], times);
+    system.fail(SystemFaults.Call.SOCKET, SystemFaults.Errno.ENFILE, times);
+    system.fail(SystemFaults.Call.CONNECT, connects[random.nextInt(2)], times);
+  }
+
+  /** Clients that connect and say nothing, more than there are descriptors. */
+  private void crowd() {
+    PlatformProcess balancer = anyBalancer();
+    note("crowd at " + balancer.name());
+    for (int i = 0; i < 500; i++) {
+      Socket socket = new Socket();
+      try {
+        socket.connect(balancer.listen(), 50);
+        crowd.add(socket);
+      } catch (IOException e) {
+        return; // It is being restarted, or takes no more.
+      }
+    }
+  }
+
+  private interface Deed {
+    void run() throws Exception;
+  }
+
+  private void later(long millis, Deed deed) {
+    running.add(
+        CompletableFuture.runAsync(
+            () -> {
+              try {
+                deed.run();
+              } catch (Exception e) {
+                broke("the rig: " + e);
+              }
+            },
+            CompletableFuture.delayedExecutor(millis, TimeUnit.MILLISECONDS)));
+  }
+
+  private void sleepUntil(long millis) throws InterruptedException {
+    long left = millis - (System.nanoTime() - beganNanos) / 1_000_000;
+    if (left > 0) {
+      Thread.sleep(left);
+    }
+  }
+
+  // ---- the rules ----
+
+  private synchronized void broke(String what) {
+    breaks.add(what);
+  }
+
+  private synchronized List<SteadyLoad> allLoads() {
+    List<SteadyLoad> all = new ArrayList<>(ended);
+    all.addAll(loads.values());
+    return all;
+  }
+
+  private void finish() throws InterruptedException, ExecutionException {
+    allLoads().forEach(SteadyLoad::stop);
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SETTLE_MILLIS);
+    while (!allLoads().stream().allMatch(SteadyLoad::settled) && System.nanoTime() < until) {
+      Thread.sleep(50);
+    }
+    for (PlatformProcess balancer : fleet.balancers()) {
+      if (!balancer.alive()) {
+        broke(balancer.name() + " has crashed");
+      }
+    }
+    List<RoutingRecord.LateSend> late = fleet.lateSends();
+    if (!late.isEmpty()) {
+      broke("drain: " + late.size() + ", " + late.get(0));
+    }
+    List<SteadyLoad.Lost> lost = new ArrayList<>();
+    allLoads().forEach(load -> lost.addAll(load.lost()));
+    if (!lost.isEmpty()) {
+      broke("lost: " + lost.size() + ", " + lost.subList(0, Math.min(MOST_NAMED, lost.size())));
+    }
+    long twice = fleet.ledger().doubles(path -> path.contains("publish"));
+    if (twice > 0) {
+      broke("run twice: " + twice);
+    }
+  }
+
+  private Result result() {
+    long[] sums = new long[5];
+    for (SteadyLoad load : allLoads()) {
+      SteadyLoad.Counts counts = load.counts();
+      sums[0] += counts.sent();
+      sums[1] += counts.served();
+      sums[2] += counts.refused();
+      sums[3] += counts.failed();
+      sums[4] += counts.unreached();
+    }
+    SteadyLoad.Counts counts = new SteadyLoad.Counts(sums[0], sums[1], sums[2], sums[3], sums[4]);
+    return new Result(seed, List.copyOf(faults), List.copyOf(breaks), counts, slowestStartMillis);
+  }
+
+  private void close() throws IOException {
+    for (Socket socket : crowd) {
+      socket.close();
+    }
+    fleet.close();
+  }
+
+  /** The logs of a run's processes, by their names; while it runs. */
+  Map<String, String> logs() throws IOException {
+    Map<String, String> logs = new LinkedHashMap<>();
+    for (PlatformProcess balancer : fleet.balancers()) {
+      logs.put(balancer.name(), Files.readString(balancer.log()));
+    }
+    return logs;
+  }
+}
--- /dev/null
+++ b/src/main/java/loadrig/platform/SystemFaults.java
@@ -0,0 +1,118 @@
+package loadrig.platform;
+
+import java.io.IOException;
+import java.nio.ByteOrder;
+import java.nio.LongBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Faults of the system under one process: a wall clock that is stepped, and calls that fail for a
+ * moment. A small library in C ({@code src/main/native/faults.c}) is built by the machine's
+ * compiler and loaded into the process before all others; it reads what is to go wrong from a file
+ * that both have mapped.
+ */
+public final class SystemFaults {
+  /** A kind of call that can fail, by the place of its count in the file. */
+  public enum Call {
+    ACCEPT(1),
+    SOCKET(3),
+    CONNECT(5),
+    SYNC(7);
+
+    private final int place;
+
+    Call(int place) {
+      this.place = place;
+    }
+  }
+
+  /** Errors as Linux numbers them. */
+  public enum Errno {
+    EIO(5),
+    ENFILE(23),
+    ENOSPC(28),
+    EADDRNOTAVAIL(99),
+    ENETUNREACH(101),
+    ECONNABORTED(103),
+    ENOBUFS(105),
+    EHOSTUNREACH(113);
+
+    private final int number;
+
+    Errno(int number) {
+      this.number = number;
+    }
+  }
+
+  private static final int WALL_CLOCK = 0;
+  private static final int FIELDS = 9;
+  private static final long BUILD_SECONDS = 60;
+  private static Path library;
+
+  private final Path file;
+  private final LongBuffer control;
+
+  public SystemFaults() throws IOException, InterruptedException {
+    build();
+    file = Files.createTempFile("heathswitch-faults-", "");
+    Files.write(file, new byte[FIELDS * Long.BYTES]);
+    try (FileChannel channel =
+        FileChannel.open(file, StandardOpenOption.READ, StandardOpenOption.WRITE)) {
+      control =
+          channel
+              .map(FileChannel.MapMode.READ_WRITE, 0, FIELDS * Long.BYTES)
+              .order(ByteOrder.nativeOrder())
+              .asLongBuffer();
+    }
+  }
+
+  private static synchronized void build() throws IOException, InterruptedException {
+    if (library != null) {
+      return;
+    }
+    Path root = Path.of(System.getProperty("heathswitch.root", "."));
+    Path built = Files.createTempDirectory("heathswitch-native-").resolve("faults.so");
+    Process compiler =
+        new ProcessBuilder(
+                "cc",
+                "-O2",
+                "-shared",
+                "-fPIC",
+                "-o",
+                built.toString(),
+                root.resolve("src/main/native/faults.c").toString(),
+                "-ldl")
+            .inheritIO()
+            .start();
+    if (!compiler.waitFor(BUILD_SECONDS, TimeUnit.SECONDS) || compiler.exitValue() != 0) {
+      throw new IOException("src/main/native/faults.c could not be built with cc");
+    }
+    library = built;
+  }
+
+  /** Variables for the process that is to meet the faults; before its start. */
+  public Map<String, String> environment() {
+    return Map.of("LD_PRELOAD", library.toString(), "FAULTS_CONTROL", file.toString());
+  }
+
+  /** Sets the wall clock off by so many milliseconds from the true time. */
+  public void setWallClock(long offMillis) {
+    control.put(WALL_CLOCK, offMillis * 1_000_000);
+  }
+
+  /** Has the next so many calls fail. */
+  public void fail(Call call, Errno errno, int times) {
+    control.put(call.place + 1, errno.number);
+    control.put(call.place, times);
+  }
+
+  /** How many of the calls that are to fail have not been made yet. */
+  public long left(Call call) {
+    return Math.max(0, control.get(call.place));
+  }
+}
--- a/src/main/java/maplehall/gateway/Far.java
+++ b/src/main/java/maplehall/gateway/Far.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import maplehall.border.Upstream;
 import maplehall.http2.Link;
+import maplehall.runtime.Channels;
 import maplehall.runtime.Log;
 import meadowtrack.gateway.FarLink;
 
@@ -103,6 +104,10 @@
             .connect(address);
     Channel channel = connecting.channel();
     dialing = channel;
+    if (!Channels.made(channel)) {
+      closed(channel, next);
+      return;
+    }
     outward.opened(channel);
     channel.closeFuture().addListener(closed -> closed(channel, next));
     connecting.addListener(
--- a/src/main/java/maplehall/grpc/GrpcPool.java
+++ b/src/main/java/maplehall/grpc/GrpcPool.java
@@ -19,6 +19,7 @@
 import maplehall.border.Upstream;
 import maplehall.http2.Link;
 import maplehall.runtime.Budget;
+import maplehall.runtime.Channels;
 import maplehall.runtime.Clock;
 import meadowtrack.api.Settings;
 
@@ -105,10 +106,13 @@
             GrpcHeaders.CHANGING,
             (decoder, encoder, settings) ->
                 new UpstreamLink(decoder, encoder, settings, this, upstream, clock));
+    ChannelFuture connecting = bootstrap.clone().handler(link).connect(upstream.grpcAddress);
+    if (!Channels.made(connecting.channel())) {
+      return null; // As if there were no descriptor: the attempt ends and may go elsewhere.
+    }
     links.computeIfAbsent(upstream, any -> new ArrayList<>(1)).add(link);
     alive.add(link);
     budget.opened();
-    ChannelFuture connecting = bootstrap.clone().handler(link).connect(upstream.grpcAddress);
     connecting.channel().closeFuture().addListener(closed -> budget.closed());
     link.dialing(connecting);
     return link;
--- a/src/main/java/maplehall/http1/UpstreamConnection.java
+++ b/src/main/java/maplehall/http1/UpstreamConnection.java
@@ -23,6 +23,7 @@
 import io.netty.util.concurrent.Future;
 import maplehall.border.Attempt;
 import maplehall.border.Upstream;
+import maplehall.runtime.Channels;
 import maplehall.runtime.Clock;
 import maplehall.runtime.Log;
 import meadowtrack.api.Outcome;
@@ -645,7 +646,7 @@
       gathered.release();
       gathered = null;
     }
-    channel.close();
+    Channels.close(channel);
   }
 
   /**
--- a/src/main/java/maplehall/http1/UpstreamPool.java
+++ b/src/main/java/maplehall/http1/UpstreamPool.java
@@ -20,6 +20,7 @@
 import maplehall.border.Transport;
 import maplehall.border.Upstream;
 import maplehall.runtime.Budget;
+import maplehall.runtime.Channels;
 import maplehall.runtime.Clock;
 import meadowtrack.api.Settings;
 
@@ -153,7 +154,7 @@
                   }
                 })
             .connect(attempt.upstream().address);
-    if (connecting.channel() instanceof NioSocketChannel) {
+    if (Channels.made(connecting.channel())) {
       connecting.channel().closeFuture().addListener(closed -> budget.closed());
     } else {
       budget.closed(); // No socket could be made; the channel is a stand-in that never closes.
--- a/src/main/java/maplehall/platform/DiscoveryClient.java
+++ b/src/main/java/maplehall/platform/DiscoveryClient.java
@@ -34,6 +34,7 @@
 import maplehall.dispatch.Dispatcher;
 import maplehall.dispatch.Member;
 import maplehall.node.MemberSource;
+import maplehall.runtime.Channels;
 import maplehall.runtime.Log;
 import meadowtrack.api.ListForm;
 import meadowtrack.api.Settings;
@@ -445,7 +446,7 @@
       if (silence != null) {
         silence.cancel(false);
       }
-      channel.close();
+      Channels.close(channel);
     }
   }
 }
--- /dev/null
+++ b/src/test/java/loadrig/platform/SystemFaultsTest.java
@@ -0,0 +1,162 @@
+package loadrig.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.time.Instant;
+import java.util.List;
+import loadrig.server.ServiceTime;
+import loadrig.server.Shape;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import testing.Await;
+
+/** One process under a system whose calls fail for a moment and whose wall clock is stepped. */
+@Timeout(120)
+class SystemFaultsTest {
+  private static final Shape SHAPE = Shape.warm(8, 64, ServiceTime.fixed(5));
+  private static final Terms TERMS = new Terms(1000, 2000, 512);
+  private static final int FAILURES = 4;
+
+  private final SystemFaults system = new SystemFaults();
+
+  SystemFaultsTest() throws Exception {}
+
+  private PlatformProcess start(PlatformFleet fleet) throws Exception {
+    for (int i = 0; i < 3; i++) {
+      fleet.addServer(false);
+    }
+    PlatformProcess balancer = fleet.add();
+    balancer.environment(system.environment());
+    fleet.restart(balancer);
+    return balancer;
+  }
+
+  /** One request on a connection of its own: the status line, and how long it took. */
+  private static long ask(PlatformProcess balancer, int number) throws IOException {
+    long began = System.nanoTime();
+    try (Socket socket = new Socket()) {
+      socket.connect(balancer.listen(), 1000);
+      socket.setSoTimeout(5000);
+      String head =
+          "GET /api/x HTTP/1.1\r\nHost: b\r\nX-Request-Id: r"
+              + number
+              + "\r\nX-Class: view\r\nX-Tenant: school\r\nX-Deadline: 1.0\r\n\r\n";
+      socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+      InputStream in = socket.getInputStream();
+      String status = new String(in.readNBytes(12), StandardCharsets.US_ASCII);
+      assertEquals("HTTP/1.1 200", status);
+    }
+    return (System.nanoTime() - began) / 1_000_000;
+  }
+
+  /** A listener that leaves off for a second answers nobody in time whose deadline is short. */
+  @ParameterizedTest
+  @EnumSource(names = {"ENFILE", "ENOBUFS", "ECONNABORTED"})
+  void acceptsThatFailHoldNobodyUp(SystemFaults.Errno errno) throws Exception {
+    try (PlatformFleet fleet = new PlatformFleet(81, TERMS, SHAPE)) {
+      PlatformProcess balancer = start(fleet);
+      ask(balancer, 0);
+      system.fail(SystemFaults.Call.ACCEPT, errno, FAILURES);
+      long slowest = 0;
+      for (int i = 1; i <= 20; i++) {
+        slowest = Math.max(slowest, ask(balancer, i));
+      }
+      assertEquals(0, system.left(SystemFaults.Call.ACCEPT), "all have failed");
+      assertTrue(slowest < 500, "slowest " + slowest + " ms");
+    }
+  }
+
+  /** The next attempt goes to a server to which a connection can be made. */
+  @ParameterizedTest
+  @EnumSource(names = {"EADDRNOTAVAIL", "ENETUNREACH", "EHOSTUNREACH"})
+  void aConnectThatFailsIsTriedElsewhere(SystemFaults.Errno errno) throws Exception {
+    try (PlatformFleet fleet = new PlatformFleet(82, TERMS, SHAPE)) {
+      PlatformProcess balancer = start(fleet);
+      system.fail(SystemFaults.Call.CONNECT, errno, 1);
+      ask(balancer, 0);
+      system.fail(SystemFaults.Call.SOCKET, SystemFaults.Errno.ENFILE, 1);
+      for (int i = 1; i <= 5; i++) {
+        ask(balancer, i);
+      }
+      assertTrue(balancer.alive());
+    }
+  }
+
+  /** What fails may be the call for the list: another one follows. */
+  @Test
+  void aCallForTheListWhoseSocketCannotBeMadeIsRepeated() throws Exception {
+    try (PlatformFleet fleet = new PlatformFleet(85, TERMS, SHAPE)) {
+      PlatformProcess balancer = start(fleet);
+      Await.until("a watch", () -> fleet.discovery().watching() == 1);
+      system.fail(SystemFaults.Call.SOCKET, SystemFaults.Errno.ENOBUFS, 2);
+      fleet.discovery().resetWatches();
+      Await.until("two failures", () -> system.left(SystemFaults.Call.SOCKET) == 0);
+      long failed = System.nanoTime();
+      Await.until("a new watch", () -> fleet.discovery().watching() == 1);
+      long tookMillis = (System.nanoTime() - failed) / 1_000_000;
+      assertTrue(balancer.alive() && tookMillis < 3500, "after " + tookMillis + " ms");
+    }
+  }
+
+  /** Deadlines, the watch on discovery and the drain go by real time. */
+  @ParameterizedTest
+  @ValueSource(longs = {-3_600_000, 3_600_000})
+  void aWallClockThatIsSteppedChangesNothing(long offMillis) throws Exception {
+    try (PlatformFleet fleet = new PlatformFleet(83, TERMS, SHAPE)) {
+      PlatformProcess balancer = start(fleet);
+      SteadyLoad load = fleet.steadyLoad(balancer, 40);
+      Await.until("a watch", () -> fleet.discovery().watching() == 1);
+      system.setWallClock(offMillis);
+      fleet.drain("s-1");
+      fleet.discovery().resetWatches();
+      Await.until("a new watch", () -> fleet.discovery().watching() == 1);
+      fleet.drain("s-2");
+      Await.until("requests", () -> load.counts().served() > 200);
+      load.stop();
+      Await.until("all ended", load::settled);
+      assertEquals(0, load.lost().size());
+      assertEquals(0, fleet.lateSends().size());
+      assertEquals(0, load.counts().failed() + load.counts().refused());
+      balancer.signal("TERM");
+      assertEquals(0, balancer.awaitEnd(5000));
+      assertTrue(steppedIn(balancer, offMillis), "the library was loaded");
+    }
+  }
+
+  /** Whether the log shows that the process saw the step. */
+  private static boolean steppedIn(PlatformProcess balancer, long offMillis) throws IOException {
+    List<String> lines = Files.readAllLines(balancer.log());
+    String last = lines.get(lines.size() - 1);
+    long seen = Instant.parse(last.substring(0, last.indexOf(' '))).toEpochMilli();
+    return Math.abs(seen - System.currentTimeMillis() - offMillis) < 60_000;
+  }
+
+  /** A process that starts while its clock is off takes a server that is just starting for cold. */
+  @Test
+  void aColdServerIsSparedByOneWhoseClockIsAnHourAhead() throws Exception {
+    system.setWallClock(3_600_000);
+    try (PlatformFleet fleet = new PlatformFleet(84, TERMS, SHAPE)) {
+      for (int i = 0; i < 5; i++) {
+        fleet.addServer(false);
+      }
+      String cold = fleet.addServer(true);
+      PlatformProcess balancer = fleet.add();
+      balancer.environment(system.environment());
+      fleet.restart(balancer);
+      SteadyLoad load = fleet.steadyLoad(balancer, 60);
+      Await.until("requests", () -> load.counts().served() > 150);
+      load.stop();
+      long sent = fleet.server(cold).received();
+      assertTrue(sent > 0 && sent < 15, "a fair share were 25, the cold one got " + sent);
+    }
+  }
+}
