--- a/src/main/java/loadrig/platform/PlatformProcess.java
+++ b/src/main/java/loadrig/platform/PlatformProcess.java
@@ -24,6 +24,10 @@
   private static final long START_MILLIS = 30_000;
   private static final int ASK_MILLIS = 1000;
 
+  /** The class path of the balancers, that of another build for one; else that of the rig. */
+  private static final String PROGRAM =
+      System.getProperty("soak.program", System.getProperty("java.class.path"));
+
   private final String name;
   private final Path folder;
   private final InetSocketAddress listen = BalancerProcess.freeAddress();
@@ -77,8 +81,7 @@
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.addAll(FLAGS);
-    command.addAll(
-        List.of("-cp", System.getProperty("java.class.path"), "maplehall.Main", "serve"));
+    command.addAll(List.of("-cp", PROGRAM, "maplehall.Main", "serve"));
     ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
     builder.environment().put("EDGE_CONFIG", file().toString());
     builder.environment().put("TMPDIR", Files.createDirectories(folder.resolve("tmp")).toString());
--- a/src/main/java/loadrig/platform/Soak.java
+++ b/src/main/java/loadrig/platform/Soak.java
@@ -4,6 +4,7 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -41,8 +42,17 @@
   private static final long KILL_MILLIS = 700;
 
   private static final long MOST_DEADLINE_MILLIS = 3000;
-  private static final long RUN_MILLIS = 18_000;
-  private static final long LAST_FAULT_MILLIS = 12_000;
+  private static final long RUN_MILLIS = 20_000;
+  private static final long LAST_FAULT_MILLIS = 13_000;
+
+  /** Faults in which a change of the list is not heard. */
+  private static final SoakFault[] DEAFENING = {
+    SoakFault.DISCOVERY_DOWN,
+    SoakFault.DISCOVERY_TURNS_AWAY,
+    SoakFault.DISCOVERY_OCCUPIED,
+    SoakFault.WATCHES_SILENT
+  };
+
   private static final long SETTLE_MILLIS = 15_000;
   private static final int MOST_NAMED = 5;
 
@@ -111,17 +121,24 @@
 
   // ---- the schedule ----
 
+  private record Planned(long millis, SoakFault fault) {}
+
+  /** Drawn faults at drawn times, and in the midst of them a list that changes unheard. */
   private void playFaults() throws Exception {
-    int count = random.nextInt(3, 8);
-    List<Long> times = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      times.add(random.nextLong(500, LAST_FAULT_MILLIS));
+    List<Planned> plan = new ArrayList<>();
+    SoakFault[] all = SoakFault.values();
+    for (int i = random.nextInt(4, 10); i > 0; i--) {
+      SoakFault fault = all[random.nextInt(all.length)];
+      plan.add(new Planned(random.nextLong(500, LAST_FAULT_MILLIS), fault));
     }
-    times.sort(null);
-    for (long time : times) {
-      sleepUntil(time);
-      SoakFault fault = SoakFault.values()[random.nextInt(SoakFault.values().length)];
-      begin(fault);
+    long deaf = random.nextLong(1500, 5000);
+    plan.add(new Planned(deaf, DEAFENING[random.nextInt(DEAFENING.length)]));
+    plan.add(new Planned(deaf + random.nextLong(-300, 1500), SoakFault.RECONFIGURED));
+    plan.add(new Planned(deaf + random.nextLong(100, 2500), SoakFault.SERVER_DRAINS));
+    plan.sort(Comparator.comparingLong(Planned::millis));
+    for (Planned next : plan) {
+      sleepUntil(next.millis());
+      begin(next.fault());
     }
   }
 
@@ -141,7 +158,7 @@
   /** Begins a fault; what takes its time goes on by itself. */
   private void begin(SoakFault fault) throws Exception {
     ListService discovery = fleet.discovery();
-    long span = random.nextLong(1500, 9000);
+    long span = random.nextLong(1500, 13_000);
     switch (fault) {
       case DISCOVERY_DOWN -> {
         note("discovery down for " + span);
