A call that cannot be made from here is no outage of discovery; ListCall out of DiscoveryClient

Only a refused or timed-out connect, or no route, counts as out of reach now (ListForm.NOT_MADE else); ListLeaseTest holds it.

--- a/src/main/java/maplehall/platform/CallLog.java
+++ b/src/main/java/maplehall/platform/CallLog.java
@@ -52,7 +52,7 @@
   }
 
   /** A whole line has come. */
-  void heard(Entry entry) {
+  void heard() {
     heardNanos = System.nanoTime();
   }
 
--- a/src/main/java/maplehall/platform/DiscoveryClient.java
+++ b/src/main/java/maplehall/platform/DiscoveryClient.java
@@ -2,31 +2,10 @@
 
 import static java.util.concurrent.TimeUnit.MILLISECONDS;
 
-import com.fasterxml.jackson.jr.ob.JSON;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.Future;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
@@ -34,7 +13,6 @@
 import maplehall.dispatch.Dispatcher;
 import maplehall.dispatch.Member;
 import maplehall.node.MemberSource;
-import maplehall.runtime.Channels;
 import maplehall.runtime.Log;
 import meadowtrack.api.ListForm;
 import meadowtrack.api.Settings;
@@ -43,12 +21,11 @@
  * Asks discovery for the list and for its changes, when the module wants it. Where lists are pushed
  * nobody asks, so the watch is kept up here.
  */
-final class DiscoveryClient implements MemberSource, Dispatcher.Discovery {
+final class DiscoveryClient implements MemberSource, Dispatcher.Discovery, ListCall.Listener {
   /** A process that follows another is to serve within 6 s; most of them are kept in hand. */
   private static final long FIRST_NEWS_MILLIS = 2500;
 
   private static final int CONNECT_MILLIS = 1000;
-  private static final int MOST_LINE_BYTES = 4 << 20;
 
   private final EventLoop loop;
   private InetSocketAddress address;
@@ -60,12 +37,12 @@
   private long revision = -1;
 
   /** The watch that has spoken; it is heard until a newer one has. */
-  private Call watch;
+  private ListCall watch;
 
   /** The call for a watch that has not spoken yet: one at a time. */
-  private Call pending;
+  private ListCall pending;
 
-  private Call fetch;
+  private ListCall fetch;
   private boolean stopped;
 
   /** Opened with the first news, for a process that follows another. */
@@ -171,8 +148,18 @@
     }
   }
 
-  /** A call has brought its first line. */
-  private void spoke(Call call) {
+  @Override
+  public ListClock clock() {
+    return clock;
+  }
+
+  @Override
+  public long revision() {
+    return revision;
+  }
+
+  @Override
+  public void spoke(ListCall call) {
     if (call == pending) {
       pending = null;
       close(watch, "a newer one has spoken");
@@ -196,32 +183,26 @@
       news(watch, DiscoveryList.unchanged(revision));
       return;
     }
-    String index = revision >= 0 ? "&index=" + revision : "";
-    pending = new Call("/discovery/hosts?stream=1" + index, true, keepWatch ? "kept up" : "asked");
-    pending.open();
+    String cause = keepWatch ? "kept up" : "asked";
+    pending = ListCall.watch(address, cause, loop, calls, this);
+    pending.open(bootstrap);
   }
 
   @Override
   public void fetch() {
     close(fetch, "another call is made");
-    fetch = new Call("/discovery/hosts", false, "asked");
-    fetch.open();
+    fetch = ListCall.fetch(address, "asked", loop, calls, this);
+    fetch.open(bootstrap);
   }
 
-  /** Gives a call up that may still be out. */
-  private void close(Call call, String why) {
-    if (call != null && !call.closed) {
-      call.close();
-      calls.givenUp(call.entry, why);
+  private static void close(ListCall call, String why) {
+    if (call != null) {
+      call.giveUp(why);
     }
   }
 
-  /**
-   * A call has ended.
-   *
-   * @param how what its end shows of discovery
-   */
-  private void broken(Call call, String why, ListForm how) {
+  @Override
+  public void ended(ListCall call, String why, ListForm how) {
     if (stopped || (call != watch && call != pending && call != fetch)) {
       return;
     }
@@ -236,7 +217,7 @@
     } else {
       pending = null;
     }
-    if (call.stream && keepWatch) {
+    if (call.isWatch() && keepWatch) {
       loop.schedule(() -> watchAgain(), clock.againMillis(), MILLISECONDS);
     } else {
       dispatcher.onDiscoveryFailed(how);
@@ -252,7 +233,11 @@
     }
   }
 
-  private void news(Call call, DiscoveryList list) {
+  @Override
+  public void news(ListCall call, DiscoveryList list) {
+    if (call == fetch) {
+      fetch = null;
+    }
     if (call.uses(address)) {
       revision = list.revision();
     }
@@ -262,191 +247,10 @@
   }
 
   /** What an address that is no longer asked says does not confirm the list. */
-  private void confirmed(Call call) {
+  @Override
+  public void confirmed(ListCall call) {
     if (call.uses(address)) {
       dispatcher.onListConfirmed();
     }
   }
-
-  // ---- one call ----
-
-  private final class Call extends ChannelInboundHandlerAdapter {
-    private final String uri;
-    private final boolean stream;
-    private final InetSocketAddress to = address;
-    private final CallLog.Entry entry;
-    private final ListFramer framer = new ListFramer(MOST_LINE_BYTES);
-    private Channel channel;
-    private Future<?> silence;
-    private boolean begun;
-    private boolean told;
-    private boolean closed;
-
-    /** The newest revision that this call has brought: an older one may not undo what it told. */
-    private long spokenRevision;
-
-    /** One that is to be opened; the cause is for the log. */
-    Call(String uri, boolean stream, String cause) {
-      this.uri = uri;
-      this.stream = stream;
-      this.entry = calls.planned(cause, to, revision);
-    }
-
-    void open() {
-      Call call = this;
-      ChannelFuture connecting =
-          bootstrap
-              .clone()
-              .handler(
-                  new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                      channel.pipeline().addLast(new HttpClientCodec(4096, 16384, 65536), call);
-                    }
-                  })
-              .connect(to);
-      channel = connecting.channel();
-      heard();
-      // Always later: a connect that fails at once must not be told inside the module's call.
-      connecting.addListener(done -> loop.execute(() -> connected(connecting)));
-    }
-
-    private void connected(ChannelFuture connecting) {
-      if (!connecting.isSuccess()) {
-        fail("cannot connect: " + connecting.cause().getMessage());
-        return;
-      }
-      FullHttpRequest request =
-          new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
-      request.headers().set(HttpHeaderNames.HOST, to.getHostString() + ":" + to.getPort());
-      if (!stream) {
-        request.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-      }
-      channel.writeAndFlush(request);
-    }
-
-    boolean uses(InetSocketAddress address) {
-      return to.equals(address);
-    }
-
-    /** Only whole lines count: half a line, however it drips, tells nothing. */
-    private void heard() {
-      if (silence != null) {
-        silence.cancel(false);
-      }
-      long millis = told ? clock.lineMillis() : clock.firstLineMillis();
-      silence = loop.schedule(() -> fail("silent for " + millis + " ms"), millis, MILLISECONDS);
-    }
-
-    @Override
-    public void channelRead(ChannelHandlerContext ctx, Object message) {
-      try {
-        if (!closed) {
-          read((HttpObject) message);
-        }
-      } catch (IOException | RuntimeException e) {
-        fail("unreadable: " + DiscoveryList.clip(String.valueOf(e.getMessage())));
-      } finally {
-        ReferenceCountUtil.release(message);
-      }
-    }
-
-    private void read(HttpObject part) throws IOException {
-      if (part.decoderResult().isFailure()) {
-        fail("malformed: " + part.decoderResult().cause().getMessage());
-        return;
-      }
-      if (part instanceof HttpResponse response && response.status().code() != 200) {
-        if (response.status().code() >= 200) {
-          end("status " + response.status().code(), ListForm.TURNED_AWAY);
-        }
-        return;
-      }
-      begun |= part instanceof HttpResponse;
-      if (part instanceof HttpContent content) {
-        take(content.content());
-        if (part instanceof LastHttpContent && !closed) {
-          ended();
-        }
-      }
-    }
-
-    private void take(ByteBuf bytes) throws IOException {
-      while (bytes.isReadable() && !closed) {
-        boolean complete = framer.add(bytes.readByte());
-        if (complete && stream) {
-          line(framer.take());
-        }
-      }
-    }
-
-    private void line(String text) throws IOException {
-      boolean first = !told;
-      told = true;
-      heard();
-      calls.heard(entry);
-      if (text.isEmpty() && !first) {
-        confirmed(this);
-        return;
-      }
-      // Empty at first: nothing has changed, but the module waits to hear that its call went
-      // through.
-      DiscoveryList list =
-          text.isEmpty()
-              ? DiscoveryList.unchanged(revision)
-              : DiscoveryList.parse(JSON.std.mapFrom(text));
-      if (!first && list.revision() < spokenRevision) {
-        Log.warn("discovery", "left out: revision " + list.revision() + " after " + spokenRevision);
-        return;
-      }
-      spokenRevision = list.revision();
-      if (first) {
-        calls.answered(entry, list);
-      }
-      spoke(this);
-      news(this, list);
-    }
-
-    private void ended() throws IOException {
-      if (!stream) {
-        DiscoveryList list = DiscoveryList.parse(JSON.std.mapFrom(framer.take()));
-        close();
-        fetch = null;
-        calls.answered(entry, list);
-        news(this, list);
-      } else {
-        fail("ended");
-      }
-    }
-
-    @Override
-    public void channelInactive(ChannelHandlerContext ctx) {
-      fail("connection closed");
-    }
-
-    @Override
-    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      fail(String.valueOf(cause.getMessage()));
-    }
-
-    private void fail(String why) {
-      end(why, begun ? ListForm.CUT_SHORT : ListForm.BROKEN);
-    }
-
-    private void end(String why, ListForm how) {
-      if (!closed) {
-        close();
-        calls.failed(entry, why, told);
-        broken(this, why, how);
-      }
-    }
-
-    void close() {
-      closed = true;
-      if (silence != null) {
-        silence.cancel(false);
-      }
-      Channels.close(channel);
-    }
-  }
 }
--- a/src/main/java/meadowtrack/api/ListForm.java
+++ b/src/main/java/meadowtrack/api/ListForm.java
@@ -13,10 +13,12 @@
   /** Discovery answered a call, and turned it away; no entries. */
   TURNED_AWAY,
   /** Discovery began to answer a call, and the answer broke off before it told anything. */
-  CUT_SHORT;
+  CUT_SHORT,
+  /** A call could not be made from here, which tells nothing of discovery; no entries. */
+  NOT_MADE;
 
   /** Whether a call or a subscription has failed; such news has no entries. */
   public boolean failure() {
-    return this == BROKEN || this == TURNED_AWAY || this == CUT_SHORT;
+    return this == BROKEN || this == TURNED_AWAY || this == CUT_SHORT || this == NOT_MADE;
   }
 }
--- a/src/main/java/meadowtrack/core/ListLease.java
+++ b/src/main/java/meadowtrack/core/ListLease.java
@@ -52,7 +52,10 @@
     busy = false;
   }
 
-  /** A watch has broken that had confirmed the list until then. */
+  /**
+   * A watch has broken that had confirmed the list until then, or a call could not even be made
+   * from here.
+   */
   void broken() {
     failed = true;
   }
--- a/src/main/java/meadowtrack/core/Membership.java
+++ b/src/main/java/meadowtrack/core/Membership.java
@@ -148,7 +148,7 @@
   }
 
   private void tellLease(long nowNanos, ListForm form, boolean called) {
-    if (!called) {
+    if (!called || form == ListForm.NOT_MADE) {
       lease.broken();
     } else if (form == ListForm.TURNED_AWAY) {
       lease.turnedAway(calledNanos, nowNanos);
--- a/src/test/java/meadowtrack/core/ListLeaseTest.java
+++ b/src/test/java/meadowtrack/core/ListLeaseTest.java
@@ -167,6 +167,16 @@
     assertFalse(sends());
   }
 
+  /** Calls that fail on this machine, for want of a socket say, show nothing of discovery. */
+  @Test
+  void callsThatCannotBeMadeAreNoOutage() {
+    long confirmed = h.now;
+    fail(ListForm.BROKEN);
+    failCalls(ListForm.TURNED_AWAY, 20 * MS, confirmed + 2 * SECOND);
+    failCalls(ListForm.NOT_MADE, MS, confirmed + holds);
+    assertFalse(sends());
+  }
+
   /** The head of an answer has come: discovery runs, whatever became of the rest. */
   @Test
   void anAnswerThatBreaksOffIsNoOutage() {
