Tell the calls of a test apart by their messages, and hold off wall clocks in all that serves

HardCasesTest.aCancelCrossesTheTrailers failed once beside load, waiting in vain for a call: it took the n-th call at the server for that of the n-th round. The message's length names the call now. BordersTest: no System.currentTimeMillis or Instant.now in what serves requests (runtime.Clock reads it once).

--- a/src/test/java/architecture/BordersTest.java
+++ b/src/test/java/architecture/BordersTest.java
@@ -105,6 +105,30 @@
         .check(all);
   }
 
+  /**
+   * Deadlines, windows, waits and graces are spans of real time; one class reads the wall clock.
+   */
+  @Test
+  void whatServesRequestsReadsNoClockThatIsSet() {
+    noClasses()
+        .that()
+        .resideInAnyPackage(
+            "maplehall.border..",
+            "maplehall.dispatch..",
+            "maplehall.http1..",
+            "maplehall.http2..",
+            "maplehall.node..",
+            "maplehall.platform..",
+            "maplehall.operations..",
+            "maplehall.grpc..",
+            "maplehall.gateway..")
+        .should()
+        .callMethod(System.class, "currentTimeMillis")
+        .orShould()
+        .callMethod(Instant.class, "now")
+        .check(all);
+  }
+
   @Test
   void importsRunOneWay() {
     slices().matching("maplehall.(*)..").should().beFreeOfCycles().check(all);
--- a/src/test/java/maplehall/grpc/HardCasesTest.java
+++ b/src/test/java/maplehall/grpc/HardCasesTest.java
@@ -300,12 +300,12 @@
         GrpcFixture fixture = new GrpcFixture().server(raw.port()).start()) {
       ManagedChannel channel = fixture.channel();
       for (int i = 0; i < 50; i++) {
-        int number = i;
+        int size = i + 1; // Tells the calls apart: one that is late may have a second copy.
         ClientCall<byte[], byte[]> call = channel.newCall(Echo.UNARY, CallOptions.DEFAULT);
         BlockingQueue<Object> results = new LinkedBlockingQueue<>();
-        ClientCalls.asyncUnaryCall(call, new byte[1], observer(results));
-        Await.until("the call", () -> raw.calls.size() > number && raw.calls.get(number).whole);
-        Thread other = new Thread(() -> raw.calls.get(number).answer("0"));
+        ClientCalls.asyncUnaryCall(call, new byte[size], observer(results));
+        Await.until("the call", () -> raw.call(size) != null);
+        Thread other = new Thread(() -> raw.call(size).answer("0"));
         other.start();
         call.cancel("crossing", null);
         other.join();
--- a/src/test/java/maplehall/grpc/RawServer.java
+++ b/src/test/java/maplehall/grpc/RawServer.java
@@ -94,6 +94,9 @@
     }
   }
 
+  /** Before each message: whether it is compressed, and its length. */
+  private static final int PREFIX_BYTES = 5;
+
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   final List<Call> calls = new CopyOnWriteArrayList<>();
   final List<Channel> connections = new CopyOnWriteArrayList<>();
@@ -142,6 +145,14 @@
     return ((InetSocketAddress) listener.localAddress()).getPort();
   }
 
+  /** The first call whose message of so many bytes has come whole, or null. */
+  Call call(int messageBytes) {
+    return calls.stream()
+        .filter(call -> call.whole && call.bytes.get() == PREFIX_BYTES + messageBytes)
+        .findFirst()
+        .orElse(null);
+  }
+
   /** Calls that have come whole and are not over. */
   long whole() {
     return calls.stream().filter(call -> call.whole && !call.over).count();
