--- a/src/main/java/loadrig/platform/ListService.java
+++ b/src/main/java/loadrig/platform/ListService.java
@@ -42,17 +42,22 @@
 import maplehall.runtime.Listeners;
 
 /**
- * A stand-in for discovery that is asked: one service for all balancers, which works through calls
- * in turn and turns a call away when its answer would take too long. It can be down, busy with
- * other callers, or forget its open watches. Each balancer asks at an address of its own, so that
- * it is known what each has been told. Everything lives on one event loop; the methods may be
- * called from any other thread.
+ * A stand-in for discovery. Where it is asked it is one service for all balancers, which works
+ * through calls in turn and turns a call away when its answer would take too long; where lists are
+ * pushed it stands for the agents beside the balancers, which answer at once and say nothing while
+ * discovery is down. It can be down, busy with other callers, or forget its open watches. Each
+ * balancer asks at an address of its own, so that it is known what each has been told. Everything
+ * lives on one event loop; the methods may be called from any other thread.
  */
 public final class ListService implements AutoCloseable {
   /** A call waits for so long at most, and is then failed. */
   static final long CALL_TIMEOUT_MILLIS = 3000;
 
   private static final long HEARTBEAT_MILLIS = 2000;
+
+  /** After a new configuration what an agent has counts as told so much later. */
+  private static final long MOVE_MILLIS = 4000;
+
   private static final int MOST_REQUEST_BYTES = 4096;
 
   /** What a call that is turned away costs, as a part of one that is answered. */
@@ -64,6 +69,7 @@
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   private final EventLoop loop = group.next();
   private final SplittableRandom random;
+  private final boolean pushed;
   private final Map<String, ListedMember> members = new LinkedHashMap<>();
   private final List<Change> changes = new ArrayList<>();
   private final Map<String, Portal> portals = new HashMap<>();
@@ -75,8 +81,14 @@
   private boolean down;
   private boolean turnsAway;
 
-  public ListService(long seed) {
+  /**
+   * One that lists nothing yet.
+   *
+   * @param pushed whether it stands for agents that have the list, or is asked for it
+   */
+  public ListService(long seed, boolean pushed) {
     random = new SplittableRandom(seed);
+    this.pushed = pushed;
   }
 
   // ---- what it lists ----
@@ -122,8 +134,10 @@
         () -> {
           down = on;
           reachability.down(on, System.nanoTime());
-          if (on) {
+          if (on && !pushed) {
             portals.values().forEach(Portal::resetWatches);
+          } else if (!on && pushed) {
+            portals.values().forEach(Portal::back);
           }
           return null;
         });
@@ -169,7 +183,7 @@
   public void silenceWatches() {
     run(
         () -> {
-          portals.values().forEach(portal -> portal.watches.forEach(watch -> watch.silent = true));
+          portals.values().forEach(Portal::silence);
           return null;
         });
   }
@@ -214,8 +228,12 @@
   long toldNanos(String balancer, Change change, long limitNanos) {
     return run(
         () -> {
-          long limit = reachability.after(change.nanos(), limitNanos);
-          Long written = portals.get(balancer).written.get(change.revision());
+          Portal portal = portals.get(balancer);
+          long limit =
+              pushed
+                  ? portal.pushedNanos(reachability.after(change.nanos(), 0), limitNanos)
+                  : reachability.after(change.nanos(), limitNanos);
+          Long written = portal.written.get(change.revision());
           return written == null ? limit : Math.min(written, limit);
         });
   }
@@ -267,6 +285,12 @@
   private final class Portal {
     private final Set<Watch> watches = new LinkedHashSet<>();
     private final Map<Long, Long> written = new HashMap<>();
+    private final List<Long> moves = new ArrayList<>();
+    private final List<Long> silences = new ArrayList<>();
+
+    /** Calls to an agent that says nothing while discovery is down. */
+    private final List<Runnable> held = new ArrayList<>();
+
     private Channel listener;
     private long calls;
     private long turnedAway;
@@ -280,6 +304,7 @@
       run(
           () -> {
             if (listener != null) {
+              moves.add(System.nanoTime());
               listener.close();
               resetWatches();
             }
@@ -310,11 +335,15 @@
 
     private void called(Channel channel, String uri) {
       calls++;
+      if (down && pushed) {
+        held.add(() -> answer(channel, uri));
+        return;
+      }
       if (down) {
         loop.schedule(() -> fail(channel), CALL_TIMEOUT_MILLIS, MILLISECONDS);
         return;
       }
-      long answered = place();
+      long answered = pushed ? System.nanoTime() : place();
       if (answered < 0) {
         turnedAway++;
         fail(channel);
@@ -355,7 +384,7 @@
       loop.schedule(
           () -> {
             if (watch.channel.isActive()) {
-              if (!watch.silent) {
+              if (!watch.silent && !down) {
                 line(watch, "\n");
               }
               beat(watch);
@@ -371,6 +400,34 @@
       }
     }
 
+    /** Discovery is back: what waited is answered, and open watches hear what they missed. */
+    void back() {
+      List<Runnable> calls = List.copyOf(held);
+      held.clear();
+      calls.forEach(Runnable::run);
+      tellChange();
+    }
+
+    void silence() {
+      if (!watches.isEmpty()) {
+        silences.add(System.nanoTime());
+        watches.forEach(watch -> watch.silent = true);
+      }
+    }
+
+    /** What an agent has counts as told, but for a while after a move or a silence. */
+    long pushedNanos(long hadNanos, long silenceNanos) {
+      long told = hadNanos;
+      for (long silence : silences) {
+        told = silence <= hadNanos ? Math.max(told, silence + silenceNanos) : told;
+      }
+      for (long move : moves) {
+        boolean near = move <= hadNanos + MILLISECONDS.toNanos(HEARTBEAT_MILLIS);
+        told = near ? Math.max(told, move + MILLISECONDS.toNanos(MOVE_MILLIS)) : told;
+      }
+      return told;
+    }
+
     /** What has changed since the last line, or the whole list where that is not known. */
     private void tell(Watch watch) {
       boolean whole = watch.told < 0 || watch.told > revision;
--- a/src/main/java/loadrig/platform/PlatformFleet.java
+++ b/src/main/java/loadrig/platform/PlatformFleet.java
@@ -40,7 +40,7 @@
     this.seed = seed;
     this.terms = terms;
     this.shape = shape;
-    this.discovery = new ListService(seed);
+    this.discovery = new ListService(seed, terms.pushed());
   }
 
   // ---- servers ----
--- a/src/main/java/loadrig/platform/Soak.java
+++ b/src/main/java/loadrig/platform/Soak.java
@@ -82,7 +82,10 @@
     perSecond = random.nextInt(15, 40);
     long deadline = random.nextInt(600, 4000);
     ServiceTime time = ServiceTime.exponential(random.nextInt(10, 60));
-    fleet = new PlatformFleet(seed, new Terms(deadline, 2000, 512), Shape.warm(8, 32, time));
+    boolean pushed = random.nextInt(3) == 0;
+    fleet =
+        new PlatformFleet(seed, new Terms(deadline, 2000, 512, pushed), Shape.warm(8, 32, time));
+    faults.add(pushed ? "lists are pushed" : "lists are asked for");
   }
 
   /** Plays one seed. */
--- a/src/main/java/loadrig/platform/Terms.java
+++ b/src/main/java/loadrig/platform/Terms.java
@@ -10,8 +10,9 @@
  * @param deadlineMillis of every class, and for which clients wait
  * @param graceMillis for which a server may be sent to after it was told to drain
  * @param sockets descriptors that each process may hold
+ * @param pushed whether lists are pushed to an agent beside each balancer, or asked for
  */
-public record Terms(long deadlineMillis, long graceMillis, int sockets) {
+public record Terms(long deadlineMillis, long graceMillis, int sockets, boolean pushed) {
   private static final long NANOS_A_MILLI = 1_000_000;
 
   /** The platform's settings object for one of so many balancers. */
@@ -20,7 +21,7 @@
     settings.put(
         "classes", List.of(type("view", "read_like", 1.0), type("publish", "non_idempotent", 2.0)));
     settings.put("tenants", List.of(Map.of("name", "school", "portion", 1.0, "quota_rps", 1000.0)));
-    settings.put("membership_mode", "subscribe");
+    settings.put("membership_mode", pushed ? "automatic" : "subscribe");
     settings.put("me", number);
     settings.put("replicas_of_me", Math.max(1, balancers));
     settings.put("tier", 0);
--- a/src/test/java/loadrig/platform/CrowdedDiscoveryTest.java
+++ b/src/test/java/loadrig/platform/CrowdedDiscoveryTest.java
@@ -21,7 +21,7 @@
 @Timeout(120)
 class CrowdedDiscoveryTest {
   private static final Shape SHAPE = Shape.warm(8, 64, ServiceTime.exponential(20));
-  private static final Terms TERMS = new Terms(4000, 2000, 512);
+  private static final Terms TERMS = new Terms(4000, 2000, 512, false);
   private static final int BALANCERS = 3;
   private static final double PER_SECOND = 40;
 
--- a/src/test/java/loadrig/platform/SystemFaultsTest.java
+++ b/src/test/java/loadrig/platform/SystemFaultsTest.java
@@ -23,7 +23,7 @@
 @Timeout(120)
 class SystemFaultsTest {
   private static final Shape SHAPE = Shape.warm(8, 64, ServiceTime.fixed(5));
-  private static final Terms TERMS = new Terms(1000, 2000, 512);
+  private static final Terms TERMS = new Terms(1000, 2000, 512, false);
   private static final int FAILURES = 4;
 
   private final SystemFaults system = new SystemFaults();
