--- a/src/test/java/maplehall/platform/ShutdownTest.java
+++ b/src/test/java/maplehall/platform/ShutdownTest.java
@@ -3,7 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -12,6 +15,12 @@
 /** A drain goes on serving for a while, and owes nothing when it ends. */
 @Timeout(60)
 class ShutdownTest {
+  private static final int MOST_ATTEMPTS = 5;
+  private static final long BETWEEN_MILLIS = 10;
+
+  /** A client that asks so soon after it has connected has to be answered. */
+  private static final long PROMPT_MILLIS = 200;
+
   @Test
   void servesOpenConnectionsAndThenClosesThem() throws Exception {
     try (Peer peer = Peer.serving("ok");
@@ -62,4 +71,74 @@
       assertTrue(later.await(30, TimeUnit.SECONDS));
     }
   }
+
+  /**
+   * A client that has just connected has not had the time to ask: with short deadlines the balancer
+   * stops listening and taking in the same moment, and must not end that connection under the first
+   * request, which a client sends nowhere else.
+   */
+  @Test
+  void aClientThatConnectsAtTheEndOfTheListeningIsAnswered() throws Exception {
+    for (int attempt = 0; attempt < MOST_ATTEMPTS; attempt++) {
+      try (Peer peer = Peer.serving("ok");
+          Fixture fixture = new Fixture().upstream(peer).longest(300).start()) {
+        CountDownLatch drained = fixture.node().shutdown().drain();
+        try (LastClient last = LastClient.of(fixture)) {
+          Http.Message answer = last.client.call(Client.get("/api/late", ""));
+          if (last.ageMillis() > PROMPT_MILLIS) {
+            continue; // This machine was held up, and the balancer need not have waited.
+          }
+          assertEquals(200, answer == null ? 0 : answer.status());
+        }
+        assertTrue(drained.await(10, TimeUnit.SECONDS));
+        return;
+      }
+    }
+    fail("no attempt was prompt enough to judge");
+  }
+
+  /** One that asks for nothing does not hold up the end until the kill. */
+  @Test
+  void aClientThatConnectsAndIsSilentDoesNotHoldUpTheEnd() throws Exception {
+    try (Peer peer = Peer.serving("ok");
+        Fixture fixture = new Fixture().upstream(peer).start()) {
+      CountDownLatch drained = fixture.node().shutdown().drain();
+      try (LastClient last = LastClient.of(fixture)) {
+        assertNull(last.client.read());
+      }
+      assertTrue(drained.await(30, TimeUnit.SECONDS));
+    }
+  }
+
+  /** The last of many clients that connect one after another until the balancer refuses them. */
+  private record LastClient(Client client, long connectedNanos) implements AutoCloseable {
+    static LastClient of(Fixture fixture) throws Exception {
+      LastClient last = null;
+      while (true) {
+        try {
+          LastClient next = new LastClient(fixture.client(), System.nanoTime());
+          if (last != null) {
+            last.close();
+          }
+          last = next;
+        } catch (IOException refused) {
+          return last;
+        }
+        Thread.sleep(BETWEEN_MILLIS);
+      }
+    }
+
+    long ageMillis() {
+      return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - connectedNanos);
+    }
+
+    @Override
+    public void close() {
+      try {
+        client.close();
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+  }
 }
