A drain leaves a new connection the time of its first request

Cause: ClientServer.closeIdle, called at the end of the taking (Shutdown, and every 50 ms by Emptying), ended connections that had been accepted milliseconds before and had not asked yet; a request that crosses that end is lost, as its client does not send it again. Change: connections on which nothing has been asked stay for 300 ms from their accept.

--- a/src/main/java/maplehall/http1/ClientHandler.java
+++ b/src/main/java/maplehall/http1/ClientHandler.java
@@ -801,6 +801,11 @@
     return (phase == Phase.IDLE || phase == Phase.LINGER) && headSinceNanos == 0;
   }
 
+  /** For how long a connection has been open on which no request has ever begun. */
+  long silentNanos(long now) {
+    return now - sinceNanos;
+  }
+
   /** Whether a request has ever begun on the connection. */
   public boolean asked() {
     return asked;
--- a/src/main/java/maplehall/http1/ClientServer.java
+++ b/src/main/java/maplehall/http1/ClientServer.java
@@ -27,6 +27,13 @@
   private static final int BACKLOG = 4096;
   private static final long TICK_MILLIS = 200;
 
+  /**
+   * The first request on a new connection may come so long after the connection. A request that
+   * crosses the end of a connection on which another was answered is sent again by its client; one
+   * that crosses the end of a new connection is lost.
+   */
+  private static final long FIRST_REQUEST_NANOS = 300_000_000L;
+
   /** Accepts of one read of the listener, as Netty's default has it. */
   private static final int ACCEPTS_A_READ = 16;
 
@@ -233,13 +240,20 @@
     listener.close();
   }
 
-  /** Closes the connections on which no request is being read or answered. */
+  /**
+   * Closes the connections on which no request is being read or answered. To be called again while
+   * there are {@link #clients}: one that has just come is left for as long as its first request
+   * may take.
+   */
   public void closeIdle() {
     for (ClientHandler client : new ArrayList<>(idle)) {
       client.closeIdle();
     }
+    long now = clock.nowNanos();
     for (ClientHandler client : new ArrayList<>(silent)) {
-      client.closeIdle();
+      if (client.silentNanos(now) > FIRST_REQUEST_NANOS) {
+        client.closeIdle();
+      }
     }
   }
 
