--- a/src/main/java/loadrig/balancer/Workplace.java
+++ b/src/main/java/loadrig/balancer/Workplace.java
@@ -4,10 +4,8 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.Comparator;
 import java.util.List;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import loadrig.server.StandIn;
 import maplehall.members.MembersFormat;
 import meadowtrack.members.ListedServer;
@@ -94,10 +92,6 @@
 
   @Override
   public void close() throws IOException {
-    try (Stream<Path> all = Files.walk(folder)) {
-      for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
-        Files.deleteIfExists(path);
-      }
-    }
+    Folders.delete(folder);
   }
 }
--- a/src/main/java/loadrig/fleet/Node.java
+++ b/src/main/java/loadrig/fleet/Node.java
@@ -7,12 +7,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
 import loadrig.balancer.BalancerProcess;
+import loadrig.balancer.Folders;
 import loadrig.balancer.Workplace;
 import loadrig.server.StandIn;
 import loadrig.site.DatagramLine;
@@ -246,11 +246,7 @@
 
   /** Takes away all that it has written of the log. */
   public void loseDisk() throws IOException {
-    try (Stream<Path> all = Files.walk(workplace.folder().resolve("work"))) {
-      for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
-        Files.deleteIfExists(path);
-      }
-    }
+    Folders.delete(workplace.folder().resolve("work"));
   }
 
   public Map<String, Object> get(String page) throws IOException {
--- a/src/main/java/loadrig/measure/GatewayMeasurement.java
+++ b/src/main/java/loadrig/measure/GatewayMeasurement.java
@@ -1,11 +1,9 @@
 package loadrig.measure;
 
 import io.netty.channel.nio.NioEventLoopGroup;
-import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutorService;
@@ -13,7 +11,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.stream.Stream;
+import loadrig.balancer.Folders;
 import loadrig.client.Ledger;
 import loadrig.client.OpenLoop;
 import loadrig.client.Tally;
@@ -73,19 +71,11 @@
       for (NioEventLoopGroup group : List.of(servers, between, clients)) {
         group.shutdownGracefully(0, 2, TimeUnit.SECONDS);
       }
-      remove(folder);
+      Folders.delete(folder);
     }
     return figures;
   }
 
-  private static void remove(Path folder) throws IOException {
-    try (Stream<Path> all = Files.walk(folder)) {
-      for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
-        Files.delete(path);
-      }
-    }
-  }
-
   private void start(Path folder) throws Exception {
     Figures.progress("starting " + NAMES.size() + " sites with " + SiteRig.GATEWAYS + " gateways");
     Authority authority = new Authority(folder, "ca");
--- a/src/main/java/loadrig/platform/PlatformProcess.java
+++ b/src/main/java/loadrig/platform/PlatformProcess.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import loadrig.balancer.BalancerProcess;
+import loadrig.balancer.Folders;
 
 /**
  * A balancer as the platform runs it: {@code serve} with its configuration named by EDGE_CONFIG.
@@ -131,7 +132,8 @@
   @Override
   public void close() throws IOException {
     if (process != null) {
-      process.destroyForcibly();
+      process.destroyForcibly().onExit().join();
     }
+    Folders.delete(folder);
   }
 }
--- a/src/main/java/loadrig/platform/Soak.java
+++ b/src/main/java/loadrig/platform/Soak.java
@@ -414,6 +414,9 @@
       socket.close();
     }
     fleet.close();
+    for (SystemFaults system : systems.values()) {
+      system.close();
+    }
   }
 
   /** The logs of a run's processes, by their names; while it runs. */
--- a/src/main/java/loadrig/platform/SystemFaults.java
+++ b/src/main/java/loadrig/platform/SystemFaults.java
@@ -16,7 +16,7 @@
  * compiler and loaded into the process before all others; it reads what is to go wrong from a file
  * that both have mapped.
  */
-public final class SystemFaults {
+public final class SystemFaults implements AutoCloseable {
   /** A kind of call that can fail, by the place of its count in the file. */
   public enum Call {
     ACCEPT(1),
@@ -76,7 +76,10 @@
       return;
     }
     Path root = Path.of(System.getProperty("heathswitch.root", "."));
-    Path built = Files.createTempDirectory("heathswitch-native-").resolve("faults.so");
+    Path folder = Files.createTempDirectory("heathswitch-native-");
+    Path built = folder.resolve("faults.so");
+    folder.toFile().deleteOnExit(); // The last one that is named goes first.
+    built.toFile().deleteOnExit();
     Process compiler =
         new ProcessBuilder(
                 "cc",
@@ -115,4 +118,10 @@
   public long left(Call call) {
     return Math.max(0, control.get(call.place));
   }
+
+  /** After the end of its process. */
+  @Override
+  public void close() throws IOException {
+    Files.deleteIfExists(file);
+  }
 }
--- a/src/test/java/loadrig/platform/SystemFaultsTest.java
+++ b/src/test/java/loadrig/platform/SystemFaultsTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import loadrig.server.ServiceTime;
 import loadrig.server.Shape;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -30,6 +31,11 @@
 
   SystemFaultsTest() throws Exception {}
 
+  @AfterEach
+  void close() throws IOException {
+    system.close();
+  }
+
   private PlatformProcess start(PlatformFleet fleet) throws Exception {
     for (int i = 0; i < 3; i++) {
       fleet.addServer(false);
