Settings of the log and the rig's connections in modules of their own

OpenLoop and SteadyLoad opened connections by the same thirty lines: HttpDialer. No behaviour changed, but SteadyLoad's answers may hold 2 MiB, not 1.

--- a/src/main/java/loadrig/client/OpenLoop.java
+++ b/src/main/java/loadrig/client/OpenLoop.java
@@ -2,23 +2,17 @@
 
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
@@ -31,8 +25,9 @@
   /** Idle connections are closed before the balancer does, or a request could cross its close. */
   private static final long KEEP_NANOS = 4_000_000_000L;
 
-  private final Bootstrap bootstrap;
-  private final InetSocketAddress balancer;
+  private static final int CONNECT_MILLIS = 2000;
+
+  private final HttpDialer dialer;
   private final List<Kind> kinds;
   private final long deadlineNanos;
   private final int mostConnections;
@@ -72,17 +67,11 @@
       long seed,
       Ledger ledger) {
     super(loop, perSecond, mostConnections, seed, ledger);
-    this.balancer = loopback(balancer);
     this.kinds = List.copyOf(kinds);
     this.deadlineNanos = deadlineMillis * 1_000_000L;
     this.mostConnections = mostConnections;
     this.prefix = Long.toHexString(seed) + '-';
-    this.bootstrap =
-        new Bootstrap()
-            .group(loop)
-            .channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 2000);
+    this.dialer = new HttpDialer(loop, loopback(balancer), CONNECT_MILLIS);
   }
 
   /** Whether a call's path is of this load. */
@@ -151,20 +140,7 @@
   private void connect(Ask ask) {
     connections++;
     Connection connection = new Connection();
-    ChannelFuture connecting =
-        bootstrap
-            .clone()
-            .handler(
-                new ChannelInitializer<Channel>() {
-                  @Override
-                  protected void initChannel(Channel channel) {
-                    channel
-                        .pipeline()
-                        .addLast(
-                            new HttpClientCodec(), new HttpObjectAggregator(2 << 20), connection);
-                  }
-                })
-            .connect(balancer);
+    ChannelFuture connecting = dialer.connect(connection);
     connection.channel = connecting.channel();
     connecting.addListener(
         done -> {
--- a/src/main/java/loadrig/platform/SteadyLoad.java
+++ b/src/main/java/loadrig/platform/SteadyLoad.java
@@ -3,22 +3,16 @@
 import static java.util.concurrent.TimeUnit.MILLISECONDS;
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
@@ -27,6 +21,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
+import loadrig.client.HttpDialer;
 
 /**
  * Clients of one balancer as the platform has them: they use every connection that stays open, up
@@ -48,12 +43,11 @@
   private static final double UNSAFE_SHARE = 0.2;
 
   private final EventLoop loop;
-  private final InetSocketAddress balancer;
   private final String prefix;
   private final double perSecond;
   private final long deadlineMillis;
   private final SplittableRandom random;
-  private final Bootstrap bootstrap;
+  private final HttpDialer dialer;
   private final ArrayDeque<Connection> resting = new ArrayDeque<>();
   private final List<Lost> lost = new ArrayList<>();
   private boolean stopped;
@@ -72,17 +66,11 @@
       long deadlineMillis,
       long seed) {
     this.loop = loop;
-    this.balancer = balancer;
     this.prefix = "l" + Long.toHexString(seed) + '-';
     this.perSecond = perSecond;
     this.deadlineMillis = deadlineMillis;
     this.random = new SplittableRandom(seed);
-    this.bootstrap =
-        new Bootstrap()
-            .group(loop)
-            .channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS);
+    this.dialer = new HttpDialer(loop, balancer, CONNECT_MILLIS);
   }
 
   SteadyLoad start() {
@@ -162,20 +150,7 @@
 
   private void connect(Request request) {
     Connection connection = new Connection();
-    ChannelFuture connecting =
-        bootstrap
-            .clone()
-            .handler(
-                new ChannelInitializer<Channel>() {
-                  @Override
-                  protected void initChannel(Channel channel) {
-                    channel
-                        .pipeline()
-                        .addLast(
-                            new HttpClientCodec(), new HttpObjectAggregator(1 << 20), connection);
-                  }
-                })
-            .connect(balancer);
+    ChannelFuture connecting = dialer.connect(connection);
     connection.channel = connecting.channel();
     connecting.addListener(
         done -> {
--- a/src/main/java/maplehall/agreement/Agreement.java
+++ b/src/main/java/maplehall/agreement/Agreement.java
@@ -19,12 +19,9 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 import maplehall.runtime.Log;
-import org.apache.ratis.RaftConfigKeys;
 import org.apache.ratis.client.RaftClient;
-import org.apache.ratis.client.RaftClientConfigKeys;
 import org.apache.ratis.conf.Parameters;
 import org.apache.ratis.conf.RaftProperties;
-import org.apache.ratis.grpc.GrpcConfigKeys;
 import org.apache.ratis.grpc.GrpcFactory;
 import org.apache.ratis.proto.RaftProtos.RaftPeerRole;
 import org.apache.ratis.protocol.ClientId;
@@ -37,14 +34,11 @@
 import org.apache.ratis.protocol.exceptions.LeaderSteppingDownException;
 import org.apache.ratis.protocol.exceptions.RaftRetryFailureException;
 import org.apache.ratis.retry.RetryPolicies;
-import org.apache.ratis.rpc.SupportedRpcType;
 import org.apache.ratis.server.RaftConfiguration;
 import org.apache.ratis.server.RaftServer;
-import org.apache.ratis.server.RaftServerConfigKeys;
 import org.apache.ratis.server.storage.RaftStorage;
 import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
 import org.apache.ratis.util.LifeCycle;
-import org.apache.ratis.util.SizeInBytes;
 import org.apache.ratis.util.TimeDuration;
 
 /**
@@ -63,16 +57,7 @@
   private static final int SUBMITTERS = 4;
   private static final int OWN_SUBMITTERS = 2;
 
-  /**
-   * Whoever led counts as lost after a time between these, drawn anew each time; both well above a
-   * collection of garbage and a busy disk, and so that a new one leads within two seconds.
-   */
-  private static final long ELECTION_FROM_MILLIS = 350;
-
-  private static final long ELECTION_TO_MILLIS = 650;
-
   private static final long HAND_ON_MILLIS = 2000;
-  private static final long REQUEST_MILLIS = 700;
   private static final int TRIES = 100;
   private static final long BETWEEN_TRIES_MILLIS = 50;
 
@@ -87,26 +72,9 @@
   /** A change of those that vote waits so long for whoever is not there yet. */
   private static final long VOTE_MILLIS = 4000;
 
-  /**
-   * Files of the log that are kept in memory, within its bytes. Each new leader begins one, and a
-   * log that is closed in the moment in which the library lets go of the oldest never ends: it
-   * holds the log's lock and waits for a thread that waits for that lock.
-   */
-  private static final int MOST_CACHED = 64;
-
-  /**
-   * Entries in one message to an instance that lacks many. It has to take them and answer before
-   * the request's time is up: of 4 MB in one message a slow machine answered too late, and whoever
-   * led began anew with the same, again and again.
-   */
-  private static final int MOST_SENT = 64;
-
   /** A log that has not closed by then does not. */
   private static final long CLOSE_SECONDS = 10;
 
-  /** Entries between two snapshots; the log before the last one is not kept. */
-  private static final long SNAPSHOT_ENTRIES = 20_000;
-
   /** All logs of one fleet have one name: two fleets never meet at one address. */
   private static final RaftGroupId GROUP =
       RaftGroupId.valueOf(UUID.fromString("6c1d2a04-7c0e-4c4b-9d53-2b8f5b7c9a11"));
@@ -125,7 +93,7 @@
   private final String self;
   private final List<RaftPeer> peers;
   private final RaftGroup group;
-  private final RaftProperties settings = new RaftProperties();
+  private final RaftProperties settings;
   private final Parameters parameters = new Parameters();
   private final LogClients clients;
 
@@ -165,25 +133,7 @@
     group = group(peers);
     this.self = self;
     this.peers = List.copyOf(group.getPeers());
-    RaftConfigKeys.Rpc.setType(settings, SupportedRpcType.GRPC);
-    GrpcConfigKeys.Server.setHost(settings, listen.getAddress().getHostAddress());
-    GrpcConfigKeys.Server.setPort(settings, listen.getPort());
-    RaftServerConfigKeys.setStorageDir(settings, List.of(folder.toFile()));
-    RaftServerConfigKeys.Rpc.setTimeoutMin(settings, millis(ELECTION_FROM_MILLIS));
-    RaftServerConfigKeys.Rpc.setTimeoutMax(settings, millis(ELECTION_TO_MILLIS));
-    RaftServerConfigKeys.Rpc.setRequestTimeout(settings, millis(REQUEST_MILLIS));
-    RaftServerConfigKeys.Log.setSegmentSizeMax(settings, SizeInBytes.valueOf("4MB"));
-    RaftServerConfigKeys.Log.setPreallocatedSize(settings, SizeInBytes.valueOf("64KB"));
-    RaftServerConfigKeys.Log.setSegmentCacheNumMax(settings, MOST_CACHED);
-    RaftServerConfigKeys.Log.setSegmentCacheSizeMax(settings, SizeInBytes.valueOf("8MB"));
-    RaftServerConfigKeys.Log.setCorruptionPolicy(
-        settings, RaftServerConfigKeys.Log.CorruptionPolicy.WARN_AND_RETURN);
-    RaftServerConfigKeys.Log.setPurgeUptoSnapshotIndex(settings, true);
-    RaftServerConfigKeys.Log.Appender.setBufferByteLimit(settings, SizeInBytes.valueOf("4MB"));
-    RaftServerConfigKeys.Log.Appender.setBufferElementLimit(settings, MOST_SENT);
-    RaftServerConfigKeys.Snapshot.setAutoTriggerEnabled(settings, true);
-    RaftServerConfigKeys.Snapshot.setAutoTriggerThreshold(settings, SNAPSHOT_ENTRIES);
-    RaftServerConfigKeys.Snapshot.setRetentionFileNum(settings, 2);
+    settings = LogSettings.server(listen, folder);
     server = open();
     clients = new LogClients(this::client);
     submitters = threads(SUBMITTERS, "agreement-submit");
@@ -202,9 +152,7 @@
   }
 
   private RaftClient client() {
-    RaftProperties asking = new RaftProperties();
-    RaftConfigKeys.Rpc.setType(asking, SupportedRpcType.GRPC);
-    RaftClientConfigKeys.Rpc.setRequestTimeout(asking, millis(REQUEST_MILLIS));
+    RaftProperties asking = LogSettings.client();
     ClientId id = ClientId.randomId();
     return RaftClient.newBuilder()
         .setClientId(id)
