A log that the library has closed by itself is opened anew

It holds itself for a voter until it hears of the change; on a busy machine its election comes first, and the leader answers a candidate that is not in the configuration with the order to shut down. The instance then stayed without a log until a restart, and the vote that counted on it found no majority. Change: Agreement.watch opens a closed log anew at the next look, as it does for a wrong role.

--- a/src/main/java/maplehall/agreement/Agreement.java
+++ b/src/main/java/maplehall/agreement/Agreement.java
@@ -362,8 +362,13 @@
    * something each second: on a machine that was held up while all began, whoever led sent an
    * instance the same entries for thirteen minutes, and each answer to an earlier try undid the
    * next.
+   *
+   * <p>The library has closed the log by itself: one that comes back with an empty folder, after
+   * others vote in its place, holds itself for a voter, and where it asks for votes before it has
+   * heard of the change, as on a busy machine, whoever leads tells it to end.
    */
   public void watch(long nowNanos) {
+    boolean ended = false;
     boolean wrong = false;
     boolean led = false;
     long taken = machine.taken();
@@ -372,7 +377,9 @@
       RaftConfiguration settled = division.getRaftConf();
       RaftPeerRole role = division.getInfo().getCurrentRole();
       boolean votes = settled.getCurrentPeers().stream().anyMatch(each -> is(each, self));
-      boolean running = division.getInfo().getLifeCycleState() == LifeCycle.State.RUNNING;
+      LifeCycle.State state = division.getInfo().getLifeCycleState();
+      boolean running = state == LifeCycle.State.RUNNING;
+      ended = state == LifeCycle.State.CLOSED;
       wrong =
           running
               && settled.getPreviousPeers().isEmpty()
@@ -390,14 +397,14 @@
       movedNanos = nowNanos;
     }
     boolean still = nowNanos - movedNanos > MILLISECONDS.toNanos(stillMillis);
-    if ((looksWrong >= LOOKS_WRONG || still) && opening.compareAndSet(false, true)) {
+    if ((ended || looksWrong >= LOOKS_WRONG || still) && opening.compareAndSet(false, true)) {
       // Where nobody settles anything it would be in vain each time.
       stillMillis = still ? Math.min(MOST_STILL_MILLIS, 2 * stillMillis) : STILL_MILLIS;
       looksWrong = 0;
       movedNanos = nowNanos;
-      apart(
-          "agreement-open",
-          () -> openAnew(still ? "nothing came for long" : "those that vote were changed"));
+      String why =
+          ended ? "told to end" : still ? "nothing came for long" : "those that vote were changed";
+      apart("agreement-open", () -> openAnew(why));
     }
   }
 
