A listener that ends takes whoever has connected by then

Cause: ServerSocketChannel.close defers the close of a socket that is registered with a selector to the selector's next turn; whoever connects between the last accept and that turn is reset, a window as long as the loop's turn lasts. Change: ListenerChannel leaves the selector first, accepts what waits, then closes at once; the drain waits for it. For HTTP/1.1, gRPC and the gateway alike.

--- a/src/main/java/loadrig/platform/Soak.java
+++ b/src/main/java/loadrig/platform/Soak.java
@@ -274,6 +274,7 @@
                 if (hangUpBefore) {
                   balancer.signal("HUP");
                 }
+                load.stopping();
                 long signalled = System.nanoTime();
                 balancer.signal("TERM");
                 if (hangUpAfter) {
--- a/src/main/java/loadrig/platform/SteadyLoad.java
+++ b/src/main/java/loadrig/platform/SteadyLoad.java
@@ -33,8 +33,23 @@
   /** What became of the requests. */
   public record Counts(long sent, long served, long refused, long failed, long unreached) {}
 
-  /** A request that was taken and not answered. */
-  public record Lost(String path, String why) {}
+  /**
+   * A request that was taken and not answered.
+   *
+   * @param sentAgain whether it had crossed the end of a resting connection before
+   * @param answeredBefore whether another request had been answered on its connection
+   * @param connectionMillis for how long its connection had been open
+   * @param millis how long ago it was sent, the last time
+   * @param stoppingMillis how long ago its process was told to end; -1 if it was not
+   */
+  public record Lost(
+      String path,
+      String why,
+      boolean sentAgain,
+      boolean answeredBefore,
+      long connectionMillis,
+      long millis,
+      long stoppingMillis) {}
 
   /** A final answer may be late by as much and only earns nothing. */
   private static final long LATE_MILLIS = 500;
@@ -52,6 +67,8 @@
   private final List<Lost> lost = new ArrayList<>();
   private boolean stopped;
   private boolean killed;
+  private boolean stopping;
+  private long stoppingNanos;
   private long owed;
   private long sent;
   private long served;
@@ -83,6 +100,17 @@
     return path.contains('-' + prefix);
   }
 
+  /** Its process is told to end now. */
+  void stopping() {
+    long now = System.nanoTime();
+    run(
+        () -> {
+          stopping = true;
+          stoppingNanos = now;
+          return null;
+        });
+  }
+
   /** Its process is being killed now: from here on the end of a connection is no crossing. */
   void killed() {
     run(() -> killed = true);
@@ -155,6 +183,7 @@
     connecting.addListener(
         done -> {
           if (done.isSuccess()) {
+            connection.openedNanos = System.nanoTime();
             connection.begin(request);
           } else {
             unreached++;
@@ -163,8 +192,20 @@
         });
   }
 
-  private void lose(Request request, String why) {
-    lost.add(new Lost(request.path(), why));
+  private static long millisSince(long nanos) {
+    return NANOSECONDS.toMillis(System.nanoTime() - nanos);
+  }
+
+  private void lose(Connection connection, Request request, String why) {
+    lost.add(
+        new Lost(
+            request.path(),
+            why,
+            request.again,
+            connection.used,
+            millisSince(connection.openedNanos),
+            millisSince(connection.begunNanos),
+            stopping ? millisSince(stoppingNanos) : -1));
     owed--;
   }
 
@@ -188,9 +229,12 @@
     private Request request;
     private boolean used;
     private int turn;
+    private long openedNanos;
+    private long begunNanos;
 
     void begin(Request next) {
       request = next;
+      begunNanos = System.nanoTime();
       int current = ++turn;
       HttpMethod method = next.unsafe ? HttpMethod.POST : HttpMethod.GET;
       DefaultFullHttpRequest message =
@@ -215,7 +259,7 @@
 
     private void overdue(int begun) {
       if (request != null && turn == begun) {
-        lose(take(), "no answer in time");
+        lose(this, take(), "no answer in time");
         channel.close();
       }
     }
@@ -258,7 +302,7 @@
         unanswered.again = true;
         connect(unanswered);
       } else {
-        lose(unanswered, killed ? "found by SIGKILL" : "connection ended");
+        lose(this, unanswered, killed ? "found by SIGKILL" : "connection ended");
       }
     }
 
--- a/src/main/java/maplehall/gateway/Inward.java
+++ b/src/main/java/maplehall/gateway/Inward.java
@@ -184,7 +184,12 @@
 
   @Override
   public void stopListening() {
-    listener.close();
+    Listeners.end(listener, () -> budget.connectionsLeft() > 0);
+  }
+
+  @Override
+  public boolean listening() {
+    return listener.isOpen();
   }
 
   @Override
--- a/src/main/java/maplehall/grpc/GrpcServer.java
+++ b/src/main/java/maplehall/grpc/GrpcServer.java
@@ -146,7 +146,12 @@
 
   @Override
   public void stopListening() {
-    listener.close();
+    Listeners.end(listener, () -> budget.connectionsLeft() > 0);
+  }
+
+  @Override
+  public boolean listening() {
+    return listener.isOpen();
   }
 
   @Override
--- a/src/main/java/maplehall/http1/ClientServer.java
+++ b/src/main/java/maplehall/http1/ClientServer.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
@@ -34,9 +33,6 @@
    */
   private static final long FIRST_REQUEST_NANOS = 300_000_000L;
 
-  /** Accepts of one read of the listener, as Netty's default has it. */
-  private static final int ACCEPTS_A_READ = 16;
-
   private final EventLoop loop;
   private final Clock clock;
   final Budget budget;
@@ -232,12 +228,12 @@
     if (listener == null) {
       return;
     }
-    int before;
-    do {
-      before = clients.size();
-      ((AbstractNioChannel.NioUnsafe) listener.unsafe()).read();
-    } while (clients.size() >= before + ACCEPTS_A_READ && budget.connectionsLeft() > 0);
-    listener.close();
+    Listeners.end(listener, () -> budget.connectionsLeft() > 0);
+  }
+
+  /** Whether connections may still come. */
+  public boolean listening() {
+    return listener != null && listener.isOpen();
   }
 
   /**
--- a/src/main/java/maplehall/node/Front.java
+++ b/src/main/java/maplehall/node/Front.java
@@ -36,6 +36,9 @@
 
   void stopListening();
 
+  /** Whether clients may still connect: a listener takes a moment to end. */
+  boolean listening();
+
   /** Connections that are still there. */
   int clients();
 
--- a/src/main/java/maplehall/node/Shutdown.java
+++ b/src/main/java/maplehall/node/Shutdown.java
@@ -178,11 +178,18 @@
     waitForClients();
   }
 
+  /** Whether there are clients still, or may come. */
+  private boolean owed() {
+    return server.listening()
+        || server.clients() > 0
+        || fronts.stream().anyMatch(front -> front.listening() || front.clients() > 0);
+  }
+
   /** Answers are still on their way to clients after the last request has been decided. */
   private void waitForClients() {
     server.closeIdle();
     fronts.forEach(Front::closeIdle);
-    if (server.clients() + fronts.stream().mapToInt(Front::clients).sum() > 0) {
+    if (owed()) {
       loop.schedule(this::waitForClients, 20, MILLISECONDS);
       return;
     }
--- /dev/null
+++ b/src/main/java/maplehall/runtime/ListenerChannel.java
@@ -0,0 +1,59 @@
+package maplehall.runtime;
+
+import static java.util.concurrent.TimeUnit.MILLISECONDS;
+
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+
+/**
+ * A listener that ends without resetting those that have connected. A socket that a selector knows
+ * is closed in earnest only with the selector's next turn; the system goes on making connections
+ * until then, and resets them at the close. So this one leaves the selector first, takes what
+ * waits, and closes then, which is at once.
+ */
+public final class ListenerChannel extends NioServerSocketChannel {
+  private static final long TURN_MILLIS = 1;
+
+  /** Connections that one read takes at most. */
+  private static final int ACCEPTS_A_READ = 16;
+
+  private boolean ending;
+  private int taken;
+
+  /**
+   * Takes no more connections, after those that have already come. On the loop; the channel is
+   * closed some turns of the loop later.
+   *
+   * @param room whether another connection can be taken; those that cannot are reset
+   */
+  public void end(BooleanSupplier room) {
+    if (!ending) {
+      ending = true;
+      deregister().addListener(done -> closeOutsideSelector(room));
+    }
+  }
+
+  private void closeOutsideSelector(BooleanSupplier room) {
+    if (javaChannel().isRegistered()) {
+      eventLoop().schedule(() -> closeOutsideSelector(room), TURN_MILLIS, MILLISECONDS);
+      return;
+    }
+    if (room.getAsBoolean()) {
+      config().setAutoRead(true); // Off for a moment after an accept that failed.
+    }
+    int before;
+    do {
+      before = taken;
+      ((NioUnsafe) unsafe()).read();
+    } while (taken >= before + ACCEPTS_A_READ && room.getAsBoolean());
+    close();
+  }
+
+  @Override
+  protected int doReadMessages(List<Object> messages) throws Exception {
+    int count = super.doReadMessages(messages);
+    taken += count;
+    return count;
+  }
+}
--- a/src/main/java/maplehall/runtime/Listeners.java
+++ b/src/main/java/maplehall/runtime/Listeners.java
@@ -5,13 +5,23 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /** How every listener begins, whatever is spoken on it. */
 public final class Listeners {
   private Listeners() {}
 
+  /**
+   * Has a listener take no more connections, after those that have already come; on the loop. It is
+   * closed some turns of the loop later.
+   *
+   * @param room whether another connection can be taken
+   */
+  public static void end(Channel listener, BooleanSupplier room) {
+    ((ListenerChannel) listener).end(room);
+  }
+
   /**
    * A listener on the loop, to be bound. Its address can be had again at once after its end, and
    * what is written on its connections goes out at once.
@@ -21,7 +31,7 @@
   public static ServerBootstrap on(EventLoop loop, Consumer<Channel> accepted) {
     return new ServerBootstrap()
         .group(loop)
-        .channel(NioServerSocketChannel.class)
+        .channel(ListenerChannel.class)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .handler(new AcceptRetry())
