--- a/src/test/java/meadowtrack/core/ListLeaseTest.java
+++ b/src/test/java/meadowtrack/core/ListLeaseTest.java
@@ -177,6 +177,27 @@
     assertFalse(sends());
   }
 
+  /** What had counted as told before discovery went away has been told. */
+  @Test
+  void anOutageDoesNotBringBackAListWhoseTimeWasOver() {
+    long confirmed = h.now;
+    fail(ListForm.BROKEN);
+    failCalls(ListForm.TURNED_AWAY, 20 * MS, confirmed + holds);
+    assertFalse(sends());
+    failCalls(ListForm.TURNED_AWAY, DOWN_CALL, h.now + 20 * SECOND);
+    assertFalse(sends());
+  }
+
+  /** Nor one whose changes had counted as told, with only the grace left. */
+  @Test
+  void anOutageDoesNotLengthenTheGrace() {
+    long confirmed = h.now;
+    fail(ListForm.BROKEN);
+    failCalls(ListForm.TURNED_AWAY, 20 * MS, confirmed + TOLD);
+    failCalls(ListForm.TURNED_AWAY, DOWN_CALL, confirmed + holds + 8 * SECOND);
+    assertFalse(sends());
+  }
+
   /** An operator's mark, or news of the watch before, is no answer to the call that is out. */
   @Test
   void changesThatNobodyAskedForAnswerNoCall() {
