An outage gives a list no time back once a change counts as told

Cause: ListLease.unanswered began the time anew at each unanswered call, also where the list had not been confirmed for so long that a change counts as told; an outage after a busy discovery brought back a list whose time was over. Change: only a call made before that moment does. With no failed call before it that is the time in which discovery must be asked, so a start in an outage serves on.

--- a/src/main/java/meadowtrack/core/ListLease.java
+++ b/src/main/java/meadowtrack/core/ListLease.java
@@ -12,7 +12,8 @@
  * that turned everything away would make an outage of the list one of the service. A call that is
  * turned away at once proves that discovery runs. One that ends without an answer after a long wait
  * may have met an outage or a long queue: if the call before it was turned away, the first such
- * call is taken for the queue, and only the next one for an outage.
+ * call is taken for the queue, and only the next one for an outage. An outage that begins when a
+ * change may have counted as told already gives nothing back: that change stays told.
  */
 final class ListLease {
   /**
@@ -67,9 +68,9 @@
   }
 
   /** A call was turned away, so long after it was made. */
-  void turnedAway(long calledNanos, long nowNanos) {
+  void turnedAway(long calledNanos, long nowNanos, Settings.Obligations obligations) {
     if (nowNanos - calledNanos > PROMPT_NANOS) {
-      unanswered(calledNanos);
+      unanswered(calledNanos, obligations);
       return;
     }
     failed = true;
@@ -77,9 +78,10 @@
   }
 
   /** A call has ended with nothing that shows that discovery runs. */
-  void unanswered(long calledNanos) {
+  void unanswered(long calledNanos, Settings.Obligations obligations) {
+    boolean told = calledNanos >= anchorNanos + untilToldNanos(obligations);
     failed = true;
-    if (!busy) {
+    if (!busy && !told) {
       anchorNanos = Math.max(anchorNanos, calledNanos);
     }
     busy = false;
@@ -92,9 +94,17 @@
 
   /** Until when it may be acted on if nothing more is heard. */
   long endNanos(Settings.Obligations obligations) {
-    // Without a failed call a balancer is held to its list for as long as it may leave off asking.
-    long told = failed ? toldNanos : Math.max(toldNanos, obligations.mustAskInNanos());
-    return anchorNanos + told + obligations.stopSendingWithinNanos() - MARGIN_NANOS;
+    return anchorNanos
+        + untilToldNanos(obligations)
+        + obligations.stopSendingWithinNanos()
+        - MARGIN_NANOS;
+  }
+
+  /**
+   * Without a failed call a balancer is held to its list for as long as it may leave off asking.
+   */
+  private long untilToldNanos(Settings.Obligations obligations) {
+    return failed ? toldNanos : Math.max(toldNanos, obligations.mustAskInNanos());
   }
 
   /** For how long the list has not been confirmed, outages left out. */
--- a/src/main/java/meadowtrack/core/Membership.java
+++ b/src/main/java/meadowtrack/core/Membership.java
@@ -151,11 +151,11 @@
     if (!called || form == ListForm.NOT_MADE) {
       lease.broken();
     } else if (form == ListForm.TURNED_AWAY) {
-      lease.turnedAway(calledNanos, nowNanos);
+      lease.turnedAway(calledNanos, nowNanos, settings.obligations());
     } else if (form == ListForm.CUT_SHORT) {
       lease.cutShort();
     } else {
-      lease.unanswered(calledNanos);
+      lease.unanswered(calledNanos, settings.obligations());
     }
   }
 
