--- a/src/main/java/maplehall/dispatch/Dispatcher.java
+++ b/src/main/java/maplehall/dispatch/Dispatcher.java
@@ -22,6 +22,7 @@
 import maplehall.runtime.Log;
 import meadowtrack.api.Actions;
 import meadowtrack.api.Form;
+import meadowtrack.api.GiveUp;
 import meadowtrack.api.Health;
 import meadowtrack.api.ListForm;
 import meadowtrack.api.Outcome;
@@ -411,6 +412,7 @@
       return;
     }
     attempt.open = false;
+    attempt.outcome = outcome;
     if (attempt.timeout != null) {
       attempt.timeout.cancel(false);
     }
@@ -653,6 +655,7 @@
         new LiveRequest.Attempt(request, request.attempts.size(), upstream, now, this);
     request.attempts.add(attempt);
     request.openAttempts++;
+    RequestLog.sent(request, now);
     if (request.over
         || now >= request.deadlineNanos
         || attempt.number >= request.mostTries
@@ -691,8 +694,17 @@
     }
   }
 
+  @Override
+  public void givingUp(long requestId, GiveUp reason) {
+    LiveRequest request = requests.get(requestId);
+    if (request != null) {
+      request.givenUp = reason;
+    }
+  }
+
   private void turnAway(LiveRequest request) {
     counters.refused++;
+    RequestLog.refused(request, clock.nowNanos());
     Answer last = request.takeError(); // Else it ends with the request.
     answered(request);
     request.client.refuse(request.retryAfterNanos, last);
@@ -708,6 +720,7 @@
 
   private void failed(LiveRequest request) {
     counters.failed++;
+    RequestLog.failed(request, clock.nowNanos());
     Answer last = request.takeError();
     answered(request);
     request.client.fail(last);
--- a/src/main/java/maplehall/dispatch/LiveRequest.java
+++ b/src/main/java/maplehall/dispatch/LiveRequest.java
@@ -8,6 +8,7 @@
 import maplehall.border.Payload;
 import maplehall.border.Ticket;
 import maplehall.border.Upstream;
+import meadowtrack.api.GiveUp;
 import meadowtrack.api.Outcome;
 import meadowtrack.api.RequestClass;
 
@@ -38,6 +39,9 @@
 
     boolean open = true;
 
+    /** How it ended; null while it is out. */
+    Outcome outcome;
+
     /** Whether its answer goes on to the caller as it comes. */
     boolean begun;
 
@@ -105,6 +109,9 @@
   /** By the settings that it was taken under. */
   int mostTries;
 
+  /** Why it was given up; null if it was not. */
+  GiveUp givenUp;
+
   /** What its caller is told of when to come back, should it be turned away. */
   long retryAfterNanos;
 
--- /dev/null
+++ b/src/main/java/maplehall/dispatch/RequestLog.java
@@ -0,0 +1,56 @@
+package maplehall.dispatch;
+
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import maplehall.runtime.Log;
+
+/**
+ * The log of requests that did not go their plain way: each further attempt, refusal and failure
+ * with the request's id, its reason and what became of the attempts before. On the loop.
+ */
+final class RequestLog {
+  private static final String RETRIED = "retry";
+  private static final String REFUSED = "refused";
+  private static final String FAILED = "failed";
+
+  /** A client may name its request by as much as a header holds. */
+  private static final int MOST_NAME_CHARS = 64;
+
+  private RequestLog() {}
+
+  /** An attempt is made; the first one is no news. */
+  static void sent(LiveRequest request, long nowNanos) {
+    if (request.attempts.size() > 1) {
+      Log.info(RETRIED, () -> line(request, nowNanos));
+    }
+  }
+
+  static void refused(LiveRequest request, long nowNanos) {
+    Log.info(REFUSED, () -> line(request, nowNanos));
+  }
+
+  static void failed(LiveRequest request, long nowNanos) {
+    Log.info(FAILED, () -> line(request, nowNanos));
+  }
+
+  private static String line(LiveRequest request, long nowNanos) {
+    String attempts =
+        request.attempts.stream().map(RequestLog::attempt).collect(Collectors.joining(", "));
+    return request.name.substring(0, Math.min(MOST_NAME_CHARS, request.name.length()))
+        + " ("
+        + request.type.name()
+        + ") after "
+        + TimeUnit.NANOSECONDS.toMillis(nowNanos - request.arrivedNanos)
+        + " ms, left "
+        + TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos - nowNanos)
+        + " ms"
+        + (request.givenUp == null ? "" : ", " + request.givenUp)
+        + "; attempts ["
+        + attempts
+        + "]";
+  }
+
+  private static String attempt(LiveRequest.Attempt attempt) {
+    return attempt.upstream().name + (attempt.outcome == null ? " out" : " " + attempt.outcome);
+  }
+}
--- a/src/main/java/maplehall/platform/DiscoveryClient.java
+++ b/src/main/java/maplehall/platform/DiscoveryClient.java
@@ -137,6 +137,7 @@
     if (stopped || to.equals(address)) {
       return;
     }
+    Log.info("discovery", "asked at " + to + " from now on, before it at " + address);
     address = to;
     revision = -1;
     close(pending, "another address");
--- a/src/main/java/maplehall/platform/Reload.java
+++ b/src/main/java/maplehall/platform/Reload.java
@@ -1,6 +1,7 @@
 package maplehall.platform;
 
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import maplehall.node.Node;
 import maplehall.runtime.Log;
 import maplehall.runtime.Signals;
@@ -17,6 +18,9 @@
   private final Map<String, String> environment;
   private final DiscoveryClient discovery;
 
+  /** Of each reload in the log: which signal read which file, and in which order they are taken. */
+  private final AtomicInteger signals = new AtomicInteger();
+
   Reload(
       Node node, NodeConfig started, Map<String, String> environment, DiscoveryClient discovery) {
     this.node = node;
@@ -32,20 +36,22 @@
 
   /** Reads the file on the calling thread and leaves the rest to the loop. */
   public void reload() {
+    int number = signals.incrementAndGet();
     try {
       NodeConfig config = NodeConfig.load(environment);
-      Log.info("reload", "discovery is at " + config.discovery());
+      Log.info("reload", "file of signal " + number + ": discovery is at " + config.discovery());
       if (!config.sameProcess(started)) {
         Log.warn(
             "reload", "other addresses, limits of sockets or ways of discovery need a restart");
       }
-      node.loop().execute(() -> take(config));
+      node.loop().execute(() -> take(number, config));
     } catch (NodeConfig.Invalid | RuntimeException e) {
-      Log.warn("reload", "configuration left as it was: " + e.getMessage());
+      Log.warn("reload", "signal " + number + ": configuration left as it was: " + e.getMessage());
     }
   }
 
-  private void take(NodeConfig config) {
+  private void take(int number, NodeConfig config) {
+    Log.info("reload in force", "file of signal " + number);
     node.reload(config.settings());
     discovery.reload(config.settings());
     discovery.moveTo(config.discovery());
--- a/src/main/java/maplehall/runtime/Log.java
+++ b/src/main/java/maplehall/runtime/Log.java
@@ -1,6 +1,7 @@
 package maplehall.runtime;
 
 import java.time.Instant;
+import java.util.function.Supplier;
 import java.util.logging.ConsoleHandler;
 import java.util.logging.Formatter;
 import java.util.logging.Level;
@@ -54,6 +55,17 @@
     write(Level.INFO, kind, message, null, fields);
   }
 
+  /** A line whose text costs something, and is made only if the limit lets it through. */
+  public static void info(String kind, Supplier<String> message) {
+    if (passes(kind)) {
+      out(Level.INFO, kind, message.get(), null);
+    }
+  }
+
+  private static synchronized boolean passes(String kind) {
+    return LIMIT.passes(kind, Log::leftOut);
+  }
+
   public static void warn(String kind, String message, String... fields) {
     write(Level.WARNING, kind, message, null, fields);
   }
--- a/src/main/java/meadowtrack/api/Actions.java
+++ b/src/main/java/meadowtrack/api/Actions.java
@@ -14,6 +14,9 @@
   /** Final answer: failed, with no promise about the effect. */
   void fail(long requestId);
 
+  /** Says why the refusal or failure that follows is the answer. */
+  default void givingUp(long requestId, GiveUp reason) {}
+
   /** Asks for a timer event with this token. */
   void setTimer(long delayNanos, long token);
 
--- a/src/main/java/meadowtrack/core/Balancer.java
+++ b/src/main/java/meadowtrack/core/Balancer.java
@@ -7,6 +7,7 @@
 import java.util.SplittableRandom;
 import meadowtrack.api.Actions;
 import meadowtrack.api.Form;
+import meadowtrack.api.GiveUp;
 import meadowtrack.api.Health;
 import meadowtrack.api.ListForm;
 import meadowtrack.api.Outcome;
@@ -119,7 +120,7 @@
     retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
     entry.onStart(nowNanos, request);
     if (rules.settings.tier() == 0 && !admitted(request, rules.tenant(tenant), nowNanos)) {
-      giveUp(request, nowNanos);
+      giveUp(request, nowNanos, GiveUp.NOT_ADMITTED);
     } else if (!trySend(request, nowNanos)) {
       noRoom(request, nowNanos);
     }
@@ -301,7 +302,7 @@
     long left = request.deadlineNanos - nowNanos;
     if ((request.rules.settings.tier() == 0 && members.current(nowNanos))
         || left <= request.rules.settings.obligations().graceToAnswerNanos()) {
-      giveUp(request, nowNanos);
+      giveUp(request, nowNanos, withoutRoom(nowNanos));
       return;
     }
     request.waiting = true;
@@ -310,7 +311,12 @@
     setSweep(nowNanos, request.waitUntilNanos);
   }
 
-  private void giveUp(Request request, long nowNanos) {
+  private GiveUp withoutRoom(long nowNanos) {
+    return members.current(nowNanos) ? GiveUp.NO_ROOM : GiveUp.LIST_NOT_CURRENT;
+  }
+
+  private void giveUp(Request request, long nowNanos, GiveUp reason) {
+    actions.givingUp(request.id, reason);
     if (request.mayRefuse()) {
       actions.refuse(request.id, Math.min(request.rules.limits.maxRetryAfterNanos(), 500_000_000L));
     } else {
@@ -331,7 +337,7 @@
     if (!hopeless && trySend(request, nowNanos)) {
       retryTokens -= ran ? 1 : 0;
     } else if (hopeless || ran || request.tries >= request.rules.limits.mostTries()) {
-      giveUp(request, nowNanos);
+      giveUp(request, nowNanos, GiveUp.NO_FURTHER_ATTEMPT);
     } else {
       noRoom(request, nowNanos);
     }
@@ -381,7 +387,10 @@
 
   private boolean settled(Request request, long nowNanos) {
     if (request.waiting && request.waitUntilNanos <= nowNanos) {
-      giveUp(request, nowNanos);
+      giveUp(
+          request,
+          nowNanos,
+          members.current(nowNanos) ? GiveUp.WAITED_IN_VAIN : withoutRoom(nowNanos));
     }
     return !request.waiting;
   }
--- a/src/main/java/meadowtrack/core/ListLease.java
+++ b/src/main/java/meadowtrack/core/ListLease.java
@@ -77,14 +77,20 @@
     busy = true;
   }
 
-  /** A call has ended with nothing that shows that discovery runs. */
-  void unanswered(long calledNanos, Settings.Obligations obligations) {
+  /**
+   * A call has ended with nothing that shows that discovery runs.
+   *
+   * @return whether it is taken for an outage, so that the list's time begins anew
+   */
+  boolean unanswered(long calledNanos, Settings.Obligations obligations) {
     boolean told = calledNanos >= anchorNanos + untilToldNanos(obligations);
+    boolean outage = !busy && !told;
     failed = true;
-    if (!busy && !told) {
+    if (outage) {
       anchorNanos = Math.max(anchorNanos, calledNanos);
     }
     busy = false;
+    return outage;
   }
 
   /** Whether the list may be acted on. */
--- a/src/main/java/meadowtrack/core/Membership.java
+++ b/src/main/java/meadowtrack/core/Membership.java
@@ -155,7 +155,10 @@
     } else if (form == ListForm.CUT_SHORT) {
       lease.cutShort();
     } else {
-      lease.unanswered(calledNanos, settings.obligations());
+      boolean outage = lease.unanswered(calledNanos, settings.obligations());
+      actions.log(
+          "call without an answer, "
+              + (outage ? "taken for an outage: the list's time begins anew" : "no outage"));
     }
   }
 
