--- a/src/main/java/loadrig/platform/ListService.java
+++ b/src/main/java/loadrig/platform/ListService.java
@@ -55,9 +55,6 @@
 
   private static final long HEARTBEAT_MILLIS = 2000;
 
-  /** After a new configuration what an agent has counts as told so much later. */
-  private static final long MOVE_MILLIS = 4000;
-
   private static final int MOST_REQUEST_BYTES = 4096;
 
   /** What a call that is turned away costs, as a part of one that is answered. */
@@ -70,6 +67,7 @@
   private final EventLoop loop = group.next();
   private final SplittableRandom random;
   private final boolean pushed;
+  private final long mustAskNanos;
   private final Map<String, ListedMember> members = new LinkedHashMap<>();
   private final List<Change> changes = new ArrayList<>();
   private final Map<String, Portal> portals = new HashMap<>();
@@ -85,10 +83,12 @@
    * One that lists nothing yet.
    *
    * @param pushed whether it stands for agents that have the list, or is asked for it
+   * @param mustAskMillis for which a balancer with no watch is held to its list
    */
-  public ListService(long seed, boolean pushed) {
+  public ListService(long seed, boolean pushed, long mustAskMillis) {
     random = new SplittableRandom(seed);
     this.pushed = pushed;
+    this.mustAskNanos = MILLISECONDS.toNanos(mustAskMillis);
   }
 
   // ---- what it lists ----
@@ -148,6 +148,15 @@
     run(() -> turnsAway = on);
   }
 
+  /** Nobody listens any more where this one balancer asks, though discovery runs; or again. */
+  public void refuse(String balancer, boolean on) {
+    run(
+        () -> {
+          portals.computeIfAbsent(balancer, any -> new Portal()).refuse(on);
+          return null;
+        });
+  }
+
   /** How long one call takes, and how many calls of others come in a second. */
   public void load(long callMillis, double others) {
     run(
@@ -221,20 +230,23 @@
     return portal.move();
   }
 
-  /**
-   * When a change counts as told to a balancer: when it was written to it, or a while after
-   * discovery had it and could be reached.
-   */
-  long toldNanos(String balancer, Change change, long limitNanos) {
+  /** A process of a balancer starts, with the list of its configuration. */
+  void started(String balancer) {
+    run(
+        () -> {
+          portals.get(balancer).history.started(System.nanoTime());
+          return null;
+        });
+  }
+
+  /** When a change counts as told to a balancer. */
+  long toldNanos(String balancer, Change change) {
     return run(
         () -> {
-          Portal portal = portals.get(balancer);
-          long limit =
-              pushed
-                  ? portal.pushedNanos(reachability.after(change.nanos(), 0), limitNanos)
-                  : reachability.after(change.nanos(), limitNanos);
-          Long written = portal.written.get(change.revision());
-          return written == null ? limit : Math.min(written, limit);
+          PortalHistory history = portals.get(balancer).history;
+          return pushed
+              ? history.pushedToldNanos(change, reachability.after(change.nanos(), 0))
+              : history.askedToldNanos(change, reachability, mustAskNanos);
         });
   }
 
@@ -284,14 +296,14 @@
   /** The address of one balancer, and what it has been told there. */
   private final class Portal {
     private final Set<Watch> watches = new LinkedHashSet<>();
-    private final Map<Long, Long> written = new HashMap<>();
-    private final List<Long> moves = new ArrayList<>();
-    private final List<Long> silences = new ArrayList<>();
+    private final PortalHistory history = new PortalHistory();
 
     /** Calls to an agent that says nothing while discovery is down. */
     private final List<Runnable> held = new ArrayList<>();
 
     private Channel listener;
+    private boolean refuses;
+    private InetSocketAddress address;
     private long calls;
     private long turnedAway;
 
@@ -304,16 +316,33 @@
       run(
           () -> {
             if (listener != null) {
-              moves.add(System.nanoTime());
+              history.moved(System.nanoTime());
               listener.close();
               resetWatches();
             }
             listener = next;
+            address = (InetSocketAddress) next.localAddress();
+            if (refuses) {
+              listener.close();
+            }
             return null;
           });
       return (InetSocketAddress) next.localAddress();
     }
 
+    void refuse(boolean on) {
+      refuses = on;
+      if (listener == null) {
+        return;
+      }
+      if (on) {
+        listener.close();
+        resetWatches();
+      } else {
+        listener = Listeners.on(loop, this::accepted).bind(address).channel();
+      }
+    }
+
     private void accepted(Channel channel) {
       channel
           .pipeline()
@@ -335,22 +364,33 @@
 
     private void called(Channel channel, String uri) {
       calls++;
+      Runnable failed = history.called(System.nanoTime());
       if (down && pushed) {
         held.add(() -> answer(channel, uri));
         return;
       }
       if (down) {
+        failed.run();
         loop.schedule(() -> fail(channel), CALL_TIMEOUT_MILLIS, MILLISECONDS);
         return;
       }
       long answered = pushed ? System.nanoTime() : place();
       if (answered < 0) {
         turnedAway++;
+        failed.run();
         fail(channel);
         return;
       }
       long wait = Math.max(0, answered - System.nanoTime());
-      loop.schedule(() -> answer(channel, uri), wait, NANOSECONDS);
+      loop.schedule(
+          () -> {
+            if (down) {
+              failed.run();
+            }
+            answer(channel, uri);
+          },
+          wait,
+          NANOSECONDS);
     }
 
     private void fail(Channel channel) {
@@ -375,7 +415,14 @@
       List<String> index = new QueryStringDecoder(uri).parameters().get("index");
       Watch watch = new Watch(channel, index == null ? -1 : Long.parseLong(index.get(0)));
       watches.add(watch);
-      channel.closeFuture().addListener(closed -> watches.remove(watch));
+      Runnable ended = history.watching(System.nanoTime());
+      channel
+          .closeFuture()
+          .addListener(
+              closed -> {
+                watches.remove(watch);
+                ended.run();
+              });
       tell(watch);
       beat(watch);
     }
@@ -410,31 +457,18 @@
 
     void silence() {
       if (!watches.isEmpty()) {
-        silences.add(System.nanoTime());
+        history.silenced(System.nanoTime());
         watches.forEach(watch -> watch.silent = true);
       }
     }
 
-    /** What an agent has counts as told, but for a while after a move or a silence. */
-    long pushedNanos(long hadNanos, long silenceNanos) {
-      long told = hadNanos;
-      for (long silence : silences) {
-        told = silence <= hadNanos ? Math.max(told, silence + silenceNanos) : told;
-      }
-      for (long move : moves) {
-        boolean near = move <= hadNanos + MILLISECONDS.toNanos(HEARTBEAT_MILLIS);
-        told = near ? Math.max(told, move + MILLISECONDS.toNanos(MOVE_MILLIS)) : told;
-      }
-      return told;
-    }
-
     /** What has changed since the last line, or the whole list where that is not known. */
     private void tell(Watch watch) {
       boolean whole = watch.told < 0 || watch.told > revision;
       Map<String, ListedMember> entries = new LinkedHashMap<>();
       for (Change change : changes) {
         if (whole || change.revision() > watch.told) {
-          written.putIfAbsent(change.revision(), System.nanoTime());
+          history.wrote(change.revision(), System.nanoTime());
           entries.put(change.member().id(), change.member());
         }
       }
--- a/src/main/java/loadrig/platform/PlatformFleet.java
+++ b/src/main/java/loadrig/platform/PlatformFleet.java
@@ -40,7 +40,7 @@
     this.seed = seed;
     this.terms = terms;
     this.shape = shape;
-    this.discovery = new ListService(seed, terms.pushed());
+    this.discovery = new ListService(seed, terms.pushed(), terms.mustAskMillis());
   }
 
   // ---- servers ----
@@ -60,6 +60,12 @@
     discovery.list(discovery.member(id).with(ListedMember.Phase.TERMINATING));
   }
 
+  /** The same of a server that turns all new work away from now on. */
+  public void drainAndTurnAway(String id) {
+    servers.get(id).faults().turnsAway(true);
+    drain(id);
+  }
+
   /** A server is gone: nothing listens there any more, and discovery knows. */
   public void remove(String id) {
     servers.get(id).close();
@@ -101,6 +107,7 @@
   /** Starts one that does not run; how long it took to be ready, in milliseconds. */
   public long restart(PlatformProcess balancer) throws IOException, InterruptedException {
     configure(balancer);
+    discovery.started(balancer.name());
     return balancer.start();
   }
 
@@ -110,7 +117,8 @@
     balancer.signal("HUP");
   }
 
-  private void configure(PlatformProcess balancer) throws IOException, InterruptedException {
+  /** A new configuration is written, and its signal is still to come. */
+  void configure(PlatformProcess balancer) throws IOException, InterruptedException {
     InetSocketAddress asked = discovery.open(balancer.name());
     Map<String, Object> config = new LinkedHashMap<>();
     config.put("name", balancer.name());
--- a/src/main/java/loadrig/platform/RoutingRecord.java
+++ b/src/main/java/loadrig/platform/RoutingRecord.java
@@ -9,9 +9,6 @@
 
 /** Which request reached which server when, held against what discovery had told. Any thread. */
 public final class RoutingRecord implements StandIn.Observer {
-  /** A change counts as told so long after discovery had it and could be reached. */
-  static final long TOLD_NANOS = 6_000_000_000L;
-
   /** Of each time limit of the rules on sockets, and what this rig may see late. */
   private static final long SLACK_NANOS = 100_000_000L;
 
@@ -48,8 +45,7 @@
         if (balancer == null) {
           continue;
         }
-        long toldNanos =
-            told.computeIfAbsent(balancer, name -> discovery.toldNanos(name, change, TOLD_NANOS));
+        long toldNanos = told.computeIfAbsent(balancer, name -> discovery.toldNanos(name, change));
         long after = arrival.nanos() - toldNanos;
         if (toldNanos < Long.MAX_VALUE && after > graceMillis * 1_000_000 + SLACK_NANOS) {
           late.add(new LateSend(balancer, arrival.server(), arrival.path(), after / 1e9));
--- a/src/main/java/loadrig/platform/Terms.java
+++ b/src/main/java/loadrig/platform/Terms.java
@@ -11,9 +11,17 @@
  * @param graceMillis for which a server may be sent to after it was told to drain
  * @param sockets descriptors that each process may hold
  * @param pushed whether lists are pushed to an agent beside each balancer, or asked for
+ * @param mustAskMillis for which a balancer with no watch is held to its list
  */
-public record Terms(long deadlineMillis, long graceMillis, int sockets, boolean pushed) {
+public record Terms(
+    long deadlineMillis, long graceMillis, int sockets, boolean pushed, long mustAskMillis) {
   private static final long NANOS_A_MILLI = 1_000_000;
+  private static final long MUST_ASK_MILLIS = 10_000;
+
+  /** Terms by which a balancer has to ask as seldom as on most deployments. */
+  public Terms(long deadlineMillis, long graceMillis, int sockets, boolean pushed) {
+    this(deadlineMillis, graceMillis, sockets, pushed, MUST_ASK_MILLIS);
+  }
 
   /** The platform's settings object for one of so many balancers. */
   Map<String, Object> settings(int number, int balancers) {
@@ -59,7 +67,7 @@
     Map<String, Object> obligations = new LinkedHashMap<>();
     obligations.put("grace_to_answer_ns", 20 * NANOS_A_MILLI);
     obligations.put("stop_sending_within_ns", graceMillis * NANOS_A_MILLI);
-    obligations.put("must_ask_in_ns", 10_000 * NANOS_A_MILLI);
+    obligations.put("must_ask_in_ns", mustAskMillis * NANOS_A_MILLI);
     obligations.put("start_capacity", 0.2);
     obligations.put("warm_up_ns", 10_000 * NANOS_A_MILLI);
     obligations.put("tip_multiple", 2.5);
--- a/src/main/java/loadrig/server/Faults.java
+++ b/src/main/java/loadrig/server/Faults.java
@@ -6,6 +6,7 @@
  */
 public final class Faults {
   private volatile boolean silent;
+  private volatile boolean turnsAway;
   private volatile double resets;
   private volatile double errors;
   private volatile double spoilt;
@@ -17,6 +18,12 @@
     return this;
   }
 
+  /** Turns all requests away unrun, as a server does that drains. */
+  public Faults turnsAway(boolean on) {
+    turnsAway = on;
+    return this;
+  }
+
   /** Share of requests whose connection is reset when they have come. */
   public Faults resets(double share) {
     resets = share;
@@ -45,6 +52,10 @@
     return silent;
   }
 
+  boolean turnsAway() {
+    return turnsAway;
+  }
+
   double resets() {
     return resets;
   }
--- a/src/main/java/loadrig/server/StandIn.java
+++ b/src/main/java/loadrig/server/StandIn.java
@@ -193,9 +193,10 @@
   }
 
   private void take(Exchange exchange) {
-    if (working < shape.cores()) {
+    boolean takesNew = !faults.turnsAway();
+    if (takesNew && working < shape.cores()) {
       work(exchange);
-    } else if (waiting.size() < shape.queue()) {
+    } else if (takesNew && waiting.size() < shape.queue()) {
       waiting.add(exchange);
     } else {
       turnedAway.incrementAndGet();
--- /dev/null
+++ b/src/test/java/loadrig/platform/UnreachableDiscoveryTest.java
@@ -0,0 +1,87 @@
+package loadrig.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import loadrig.client.OpenLoop;
+import loadrig.client.Tally;
+import loadrig.server.ServiceTime;
+import loadrig.server.Shape;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import testing.Await;
+
+/**
+ * One of several balancers in processes of their own cannot reach discovery, which goes on for all
+ * others: it may not use servers for ever by what it knew, and need not leave off serving either.
+ */
+@Timeout(120)
+class UnreachableDiscoveryTest {
+  private static final Shape SHAPE = Shape.warm(8, 64, ServiceTime.exponential(20));
+  private static final Terms TERMS = new Terms(1000, 2000, 512, false);
+  private static final int BALANCERS = 3;
+  private static final int SERVERS = 6;
+  private static final double PER_SECOND = 30;
+
+  /** As long as in the evidence, and longer than any sentence lets a change go untold. */
+  private static final long UNREACHABLE_MILLIS = 14_000;
+
+  private static PlatformFleet fleet(int seed) throws Exception {
+    PlatformFleet fleet = new PlatformFleet(seed, TERMS, SHAPE);
+    for (int i = 0; i < SERVERS; i++) {
+      fleet.addServer(false);
+    }
+    return fleet.start(BALANCERS);
+  }
+
+  private static List<OpenLoop> loads(PlatformFleet fleet) {
+    List<OpenLoop> loads = new ArrayList<>();
+    fleet.balancers().forEach(balancer -> loads.add(fleet.load(balancer, PER_SECOND)));
+    return loads;
+  }
+
+  private static long served(OpenLoop load) {
+    return load.tally().count(Tally.Result.SERVED);
+  }
+
+  private static void end(PlatformFleet fleet, List<OpenLoop> loads) throws Exception {
+    for (OpenLoop load : loads) {
+      load.stop();
+    }
+    List<RoutingRecord.LateSend> late = fleet.lateSends();
+    assertEquals(0, late.size(), () -> "sent to a server that drains, first " + late.get(0));
+    assertEquals(0, fleet.ledger().lost(), "without an answer");
+    assertEquals(0, fleet.ledger().doubles(id -> id.contains("publish")), "run twice");
+  }
+
+  private static void drainTwo(PlatformFleet fleet) throws Exception {
+    fleet.drainAndTurnAway("s-1");
+    Thread.sleep(500);
+    fleet.drainAndTurnAway("s-2");
+  }
+
+  /** As n0 of the evidence: two configurations, then all calls are refused, then servers drain. */
+  @Test
+  void nothingIsSentToDrainingServersWhereEachCallIsRefusedAfterAMove() throws Exception {
+    try (PlatformFleet fleet = fleet(91)) {
+      List<OpenLoop> loads = loads(fleet);
+      Await.until("a watch of each", () -> fleet.discovery().watching() == BALANCERS);
+      PlatformProcess cutOff = fleet.balancers().get(0);
+      fleet.reconfigure(cutOff);
+      Thread.sleep(100);
+      fleet.reconfigure(cutOff);
+      fleet.discovery().refuse(cutOff.name(), true);
+      drainTwo(fleet);
+      Thread.sleep(UNREACHABLE_MILLIS / 2);
+      long before = served(loads.get(0));
+      Thread.sleep(UNREACHABLE_MILLIS / 2);
+      long later = served(loads.get(0)) - before;
+      assertTrue(later > PER_SECOND * UNREACHABLE_MILLIS / 2000 / 2, "served on: " + later);
+      fleet.discovery().refuse(cutOff.name(), false);
+      Await.until("a watch of each again", () -> fleet.discovery().watching() == BALANCERS);
+      end(fleet, loads);
+    }
+  }
+}
