Failing tests: a reload that is held up undoes the next one, one that fails is lost

Found while looking for what can keep one balancer from discovery: each SIGHUP is read on a thread of its own. A shim holds up the read of the first file by 0.4 s, or fails it three times with EIO: the process asks at an address where nobody listens any more, for good (60 s waited).

--- a/src/main/java/loadrig/platform/SystemFaults.java
+++ b/src/main/java/loadrig/platform/SystemFaults.java
@@ -22,7 +22,9 @@
     ACCEPT(1),
     SOCKET(3),
     CONNECT(5),
-    SYNC(7);
+    SYNC(7),
+    /** A read of the file of the configuration. */
+    READ_CONFIGURATION(9);
 
     private final int place;
 
@@ -50,7 +52,9 @@
   }
 
   private static final int WALL_CLOCK = 0;
-  private static final int FIELDS = 9;
+  private static final int HELD_CONFIG_READS = 11;
+  private static final int HOLD_NANOS = 12;
+  private static final int FIELDS = 13;
   private static final long BUILD_SECONDS = 60;
   private static Path library;
 
@@ -114,6 +118,12 @@
     control.put(call.place, times);
   }
 
+  /** Has the next read of the file of the configuration return so late with what it has read. */
+  public void holdConfigurationRead(long millis) {
+    control.put(HOLD_NANOS, millis * 1_000_000);
+    control.put(HELD_CONFIG_READS, 1);
+  }
+
   /** How many of the calls that are to fail have not been made yet. */
   public long left(Call call) {
     return Math.max(0, control.get(call.place));
--- a/src/main/native/faults.c
+++ b/src/main/native/faults.c
@@ -8,7 +8,9 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
 #include <sys/time.h>
@@ -25,6 +27,10 @@
   CONNECT_ERRNO,
   FAILING_SYNCS,
   SYNC_ERRNO,
+  FAILING_CONFIG_READS, /* so many reads of the file that EDGE_CONFIG names fail */
+  CONFIG_READ_ERRNO,
+  HELD_CONFIG_READS, /* so many of them return late */
+  HOLD_NANOS,
   FIELDS
 };
 
@@ -44,12 +50,15 @@
   close(fd);
 }
 
+/* Whether this call is one of so many that are counted down. */
+static int counted(enum field count) {
+  return control && control[count] > 0 &&
+         __atomic_sub_fetch(&control[count], 1, __ATOMIC_SEQ_CST) >= 0;
+}
+
 /* Whether this call is one of those that fail; errno is set then. */
 static int fails(enum field count, enum field error) {
-  if (!control || control[count] <= 0) {
-    return 0;
-  }
-  if (__atomic_sub_fetch(&control[count], 1, __ATOMIC_SEQ_CST) < 0) {
+  if (!counted(count)) {
     return 0;
   }
   errno = (int)control[error];
@@ -119,3 +128,33 @@
   }
   return fails(FAILING_SYNCS, SYNC_ERRNO) ? -1 : real(fd);
 }
+
+/* Whether a file is, or was until it was replaced, the process's configuration. */
+static int is_configuration(int fd) {
+  const char *path = getenv("EDGE_CONFIG");
+  char link[64];
+  char target[4096];
+  snprintf(link, sizeof link, "/proc/self/fd/%d", fd);
+  ssize_t length = path ? readlink(link, target, sizeof target - 1) : -1;
+  return length > 0 && strncmp(target, path, strlen(path)) == 0;
+}
+
+ssize_t read(int fd, void *buffer, size_t count) {
+  static ssize_t (*real)(int, void *, size_t);
+  if (!real) {
+    real = dlsym(RTLD_NEXT, "read");
+  }
+  int planned = control && (control[FAILING_CONFIG_READS] > 0 || control[HELD_CONFIG_READS] > 0);
+  if (!planned || !is_configuration(fd)) {
+    return real(fd, buffer, count);
+  }
+  if (fails(FAILING_CONFIG_READS, CONFIG_READ_ERRNO)) {
+    return -1;
+  }
+  ssize_t result = real(fd, buffer, count);
+  if (result > 0 && counted(HELD_CONFIG_READS)) {
+    struct timespec hold = {control[HOLD_NANOS] / 1000000000LL, control[HOLD_NANOS] % 1000000000LL};
+    nanosleep(&hold, NULL);
+  }
+  return result;
+}
--- /dev/null
+++ b/src/test/java/loadrig/platform/ReloadSeriesTest.java
@@ -0,0 +1,69 @@
+package loadrig.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import loadrig.server.ServiceTime;
+import loadrig.server.Shape;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import testing.Await;
+
+/**
+ * Configurations in quick succession for one process: the newest is in force in the end, whatever
+ * holds up or fails the reading of its file.
+ */
+@Timeout(90)
+class ReloadSeriesTest {
+  private static final Shape SHAPE = Shape.warm(8, 64, ServiceTime.fixed(5));
+  private static final Terms TERMS = new Terms(1000, 2000, 512, false);
+  private static final long HELD_UP_MILLIS = 400;
+  private static final long BETWEEN_MILLIS = 50;
+
+  private final SystemFaults system = new SystemFaults();
+
+  ReloadSeriesTest() throws Exception {}
+
+  @AfterEach
+  void close() throws Exception {
+    system.close();
+  }
+
+  private PlatformProcess start(PlatformFleet fleet) throws Exception {
+    fleet.addServer(false);
+    PlatformProcess balancer = fleet.add();
+    balancer.environment(system.environment());
+    fleet.restart(balancer);
+    Await.until("a watch", () -> fleet.discovery().watching() == 1);
+    return balancer;
+  }
+
+  /** Only at the newest address somebody listens: a watch tells that it is in force. */
+  private static void awaitNewest(PlatformFleet fleet) throws Exception {
+    Thread.sleep(2 * HELD_UP_MILLIS);
+    Await.until("a watch at the newest address", () -> fleet.discovery().watching() == 1);
+  }
+
+  @Test
+  void aReloadThatIsHeldUpDoesNotUndoTheNextOne() throws Exception {
+    try (PlatformFleet fleet = new PlatformFleet(95, TERMS, SHAPE)) {
+      PlatformProcess balancer = start(fleet);
+      system.holdConfigurationRead(HELD_UP_MILLIS);
+      fleet.reconfigure(balancer);
+      Thread.sleep(BETWEEN_MILLIS);
+      fleet.reconfigure(balancer);
+      awaitNewest(fleet);
+    }
+  }
+
+  @Test
+  void aFileThatCouldNotBeReadIsReadAgain() throws Exception {
+    try (PlatformFleet fleet = new PlatformFleet(96, TERMS, SHAPE)) {
+      PlatformProcess balancer = start(fleet);
+      system.fail(SystemFaults.Call.READ_CONFIGURATION, SystemFaults.Errno.EIO, 3);
+      fleet.reconfigure(balancer);
+      awaitNewest(fleet);
+      assertEquals(0, system.left(SystemFaults.Call.READ_CONFIGURATION), "all have failed");
+    }
+  }
+}
