No failed call lengthens the time of a list; what cannot be confirmed lets only servers that serve be used

Cause: a call that was refused, or waited in vain, passed for an outage of discovery, in which nothing is told, and began the list's time anew each time. A balancer that alone could not reach discovery used its list for ever. And a list's time took no notice of a move (4 s), of settings that hold a balancer to its list for under 6 s, and of agents (no limit at all). Past it, where calls show that discovery runs, nothing is sent, as before; else only to servers that took new work within the grace and served it (ListTrust). Pushed lists have a lease too.

--- a/src/main/java/maplehall/platform/DiscoveryClient.java
+++ b/src/main/java/maplehall/platform/DiscoveryClient.java
@@ -101,9 +101,7 @@
       Log.warn("known list", "left out: " + e.getMessage());
     }
     dispatcher.start(this, entries);
-    if (!keepWatch) {
-      dispatcher.limitListAge(MILLISECONDS.toNanos(ListClock.TOLD_MILLIS));
-    }
+    dispatcher.limitListAge(MILLISECONDS.toNanos(ListClock.TOLD_MILLIS));
     if (keepWatch || atOnce) {
       watch(true);
     }
@@ -142,10 +140,9 @@
     revision = -1;
     close(pending, "another address");
     pending = null;
+    dispatcher.onDiscoveryMoved();
     if (keepWatch) {
       watch(true);
-    } else {
-      dispatcher.onDiscoveryMoved();
     }
   }
 
@@ -212,7 +209,7 @@
     } else if (call == watch) {
       watch = null;
       Log.warn("discovery", "watch broken: " + why);
-      if (pending != null) {
+      if (pending != null && !keepWatch) {
         return; // Its end is told instead.
       }
     } else {
@@ -220,9 +217,8 @@
     }
     if (call.isWatch() && keepWatch) {
       loop.schedule(() -> watchAgain(), clock.againMillis(), MILLISECONDS);
-    } else {
-      dispatcher.onDiscoveryFailed(how);
     }
+    dispatcher.onDiscoveryFailed(how);
   }
 
   private void watchAgain() {
--- a/src/main/java/meadowtrack/core/Balancer.java
+++ b/src/main/java/meadowtrack/core/Balancer.java
@@ -156,7 +156,8 @@
     Request.Attempt attempt = open(id, number);
     return attempt != null
         && !attempt.request.over
-        && members.current(nowNanos)
+        && members.trust(nowNanos) != ListTrust.NONE
+        && members.mayUse(attempt.server, nowNanos)
         && attempt.server.health == Health.READY
         && attempt.request.maySend(number, attempt.server, nowNanos);
   }
@@ -227,7 +228,7 @@
   private boolean trySend(Request request, long nowNanos) {
     if (request.tries >= request.rules.limits.mostTries()
         || nowNanos >= request.deadlineNanos
-        || !members.current(nowNanos)) {
+        || members.trust(nowNanos) == ListTrust.NONE) {
       return false;
     }
     Server server = choose(request, nowNanos);
@@ -300,7 +301,7 @@
   private void noRoom(Request request, long nowNanos) {
     // A call that comes with no time left would be answered too late by any timer.
     long left = request.deadlineNanos - nowNanos;
-    if ((request.rules.settings.tier() == 0 && members.current(nowNanos))
+    if ((request.rules.settings.tier() == 0 && !members.suspended(nowNanos))
         || left <= request.rules.settings.obligations().graceToAnswerNanos()) {
       giveUp(request, nowNanos, withoutRoom(nowNanos));
       return;
@@ -312,7 +313,7 @@
   }
 
   private GiveUp withoutRoom(long nowNanos) {
-    return members.current(nowNanos) ? GiveUp.NO_ROOM : GiveUp.LIST_NOT_CURRENT;
+    return members.suspended(nowNanos) ? GiveUp.LIST_NOT_CURRENT : GiveUp.NO_ROOM;
   }
 
   private void giveUp(Request request, long nowNanos, GiveUp reason) {
@@ -390,7 +391,7 @@
       giveUp(
           request,
           nowNanos,
-          members.current(nowNanos) ? GiveUp.WAITED_IN_VAIN : withoutRoom(nowNanos));
+          members.suspended(nowNanos) ? GiveUp.LIST_NOT_CURRENT : GiveUp.WAITED_IN_VAIN);
     }
     return !request.waiting;
   }
@@ -448,6 +449,7 @@
   private void served(long nowNanos, Request.Attempt attempt, long tookNanos) {
     Server server = attempt.server;
     server.heardNanos = nowNanos;
+    server.tookNanos = Math.max(server.tookNanos, attempt.sentNanos);
     server.failures = 0;
     noteError(server, 0);
     RuleSet of = attempt.request.rules;
--- a/src/main/java/meadowtrack/core/ListLease.java
+++ b/src/main/java/meadowtrack/core/ListLease.java
@@ -3,17 +3,16 @@
 import meadowtrack.api.Settings;
 
 /**
- * Until when the newest list of servers may be acted on. A change counts as told some seconds after
- * discovery had it and could be reached, whether or not it arrived, and nothing may be sent to a
- * drained server once the grace has passed after that. So a list that nobody has confirmed for so
- * long tells of no server that it may be sent to.
+ * For how long the newest list of servers may be acted on. A change counts as told some time after
+ * discovery had it, whether or not it arrived, and nothing may be sent to a drained server once the
+ * grace has passed after that. Only discovery's own word that the list is current begins that time
+ * anew. A call that fails does not, however it fails: from here an outage of discovery looks the
+ * same as an address that is wrong or cannot be reached, at which all others are told.
  *
- * <p>Time in which discovery cannot be reached does not count: nothing is told then, and a balancer
- * that turned everything away would make an outage of the list one of the service. A call that is
- * turned away at once proves that discovery runs. One that ends without an answer after a long wait
- * may have met an outage or a long queue: if the call before it was turned away, the first such
- * call is taken for the queue, and only the next one for an outage. An outage that begins when a
- * change may have counted as told already gives nothing back: that change stays told.
+ * <p>What failed calls decide is how far the list is trusted once its time is over. Where the
+ * newest of them shows that discovery runs, not at all. Else it may be an outage, in which nothing
+ * is told, and a balancer that turned everything away would make it one of the service: servers
+ * that go on serving may be used.
  */
 final class ListLease {
   /**
@@ -25,96 +24,123 @@
   /** A call that was turned away after more than this had its place in the queue. */
   static final long PROMPT_NANOS = 1_000_000_000L;
 
+  /** What has changed before counts as told so long after a new configuration moved discovery. */
+  static final long MOVE_NANOS = 4_000_000_000L;
+
+  private static final long NEVER = Long.MAX_VALUE;
+
   private final long toldNanos;
+  private final boolean pushed;
+
+  /** When the list was last known to be current. */
+  private long confirmedNanos;
 
-  /** The last time at which the list was known to be current, or discovery to be out of reach. */
-  private long anchorNanos;
+  /** When discovery first moved since then. */
+  private long movedNanos = NEVER;
 
-  /** Whether a call or a watch has failed since the list was confirmed. */
-  private boolean failed;
+  /** When an agent first stopped telling since then. */
+  private long untoldNanos = NEVER;
+
+  /** Whether a watch has confirmed the list and not failed since. */
+  private boolean watched;
 
   /** Whether the newest failed call shows that discovery runs. */
-  private boolean busy;
+  private boolean discoveryRuns;
 
   /**
-   * Begins a lease.
+   * Begins a lease on a list that nobody has confirmed yet.
    *
    * @param toldNanos after which a change counts as told that discovery had all that time
+   * @param pushed whether an agent beside the balancer has the list, so that a change counts as
+   *     told at once where no watch is open
    */
-  ListLease(long nowNanos, long toldNanos) {
+  ListLease(long nowNanos, long toldNanos, boolean pushed) {
     this.toldNanos = toldNanos;
-    this.anchorNanos = nowNanos;
+    this.pushed = pushed;
+    this.confirmedNanos = nowNanos;
+    this.untoldNanos = pushed ? nowNanos : NEVER;
   }
 
   /** Discovery has said that the list is current. */
   void confirmed(long nowNanos) {
-    anchorNanos = nowNanos;
-    failed = false;
-    busy = false;
+    confirmedNanos = nowNanos;
+    movedNanos = NEVER;
+    untoldNanos = NEVER;
+    watched = true;
+    discoveryRuns = false;
+  }
+
+  /** Discovery is asked at another address from now on. */
+  void moved(long nowNanos) {
+    movedNanos = Math.min(movedNanos, nowNanos);
   }
 
   /**
    * A watch has broken that had confirmed the list until then, or a call could not even be made
    * from here.
    */
-  void broken() {
-    failed = true;
+  void broken(long nowNanos) {
+    watched = false;
+    if (pushed) {
+      untoldNanos = Math.min(untoldNanos, nowNanos);
+    }
   }
 
   /** A call was answered, and its answer broke off before it told anything. */
   void cutShort() {
-    failed = true;
-    busy = true;
+    watched = false;
+    discoveryRuns = true;
   }
 
   /** A call was turned away, so long after it was made. */
-  void turnedAway(long calledNanos, long nowNanos, Settings.Obligations obligations) {
-    if (nowNanos - calledNanos > PROMPT_NANOS) {
-      unanswered(calledNanos, obligations);
-      return;
+  void turnedAway(long calledNanos, long nowNanos) {
+    watched = false;
+    discoveryRuns = nowNanos - calledNanos <= PROMPT_NANOS;
+  }
+
+  /** A call has ended with nothing that shows that discovery runs. */
+  void unanswered() {
+    watched = false;
+    discoveryRuns = false;
+  }
+
+  ListTrust trust(long nowNanos, Settings.Obligations obligations) {
+    if (nowNanos < endNanos(obligations)) {
+      return ListTrust.CURRENT;
     }
-    failed = true;
-    busy = true;
+    return discoveryRuns ? ListTrust.NONE : ListTrust.SERVING_ONLY;
   }
 
   /**
-   * A call has ended with nothing that shows that discovery runs.
-   *
-   * @return whether it is taken for an outage, so that the list's time begins anew
+   * Whether a server may be sent to that took an attempt at a time and served it. If it began to
+   * drain it did so later, and the grace lasts from then at least.
    */
-  boolean unanswered(long calledNanos, Settings.Obligations obligations) {
-    boolean told = calledNanos >= anchorNanos + untilToldNanos(obligations);
-    boolean outage = !busy && !told;
-    failed = true;
-    if (outage) {
-      anchorNanos = Math.max(anchorNanos, calledNanos);
-    }
-    busy = false;
-    return outage;
+  static boolean serving(long tookNanos, long nowNanos, Settings.Obligations obligations) {
+    return nowNanos < tookNanos + obligations.stopSendingWithinNanos() - MARGIN_NANOS;
   }
 
-  /** Whether the list may be acted on. */
-  boolean valid(long nowNanos, Settings.Obligations obligations) {
-    return nowNanos < endNanos(obligations);
+  /** Until when the list may be acted on if nothing more is heard. */
+  private long endNanos(Settings.Obligations obligations) {
+    return untilToldNanos(obligations) + obligations.stopSendingWithinNanos() - MARGIN_NANOS;
   }
 
-  /** Until when it may be acted on if nothing more is heard. */
-  long endNanos(Settings.Obligations obligations) {
-    return anchorNanos
-        + untilToldNanos(obligations)
-        + obligations.stopSendingWithinNanos()
-        - MARGIN_NANOS;
+  /** The earliest time at which a change that was not heard can count as told. */
+  private long untilToldNanos(Settings.Obligations obligations) {
+    long told = confirmedNanos + limitNanos(obligations);
+    if (movedNanos != NEVER) {
+      told = Math.min(told, movedNanos + MOVE_NANOS);
+    }
+    return Math.min(told, untoldNanos);
   }
 
-  /**
-   * Without a failed call a balancer is held to its list for as long as it may leave off asking.
-   */
-  private long untilToldNanos(Settings.Obligations obligations) {
-    return failed ? toldNanos : Math.max(toldNanos, obligations.mustAskInNanos());
+  /** With no watch a balancer is held to its list for as long as it may leave off asking. */
+  private long limitNanos(Settings.Obligations obligations) {
+    boolean held = watched || pushed;
+    return held ? toldNanos : Math.min(toldNanos, obligations.mustAskInNanos());
   }
 
-  /** For how long the list has not been confirmed, outages left out. */
+  /** For how long the list has not been confirmed. */
   long ageNanos(long nowNanos) {
-    return nowNanos - anchorNanos;
+    return nowNanos - confirmedNanos;
   }
 }
--- a/src/main/java/meadowtrack/core/Membership.java
+++ b/src/main/java/meadowtrack/core/Membership.java
@@ -42,7 +42,8 @@
   private boolean moving;
 
   private long movedNanos;
-  private boolean suspended;
+  private final boolean asks;
+  private ListTrust trust = ListTrust.CURRENT;
   private long calledNanos;
   private long callDueNanos;
 
@@ -51,22 +52,23 @@
     this.actions = actions;
     this.random = random;
     this.calls = new ListCalls(random);
+    this.asks = settings.mustAsk();
     long idleNanos = settings.limits().keepAliveNanos();
-    this.near = new WorkingSet(random, idleNanos, WorkingSet.LEAST);
-    this.far = new WorkingSet(random, idleNanos, WorkingSet.LEAST);
-    this.spare = new WorkingSet(random, idleNanos, 0);
+    this.near = new WorkingSet(random, idleNanos, WorkingSet.LEAST, this::mayUse);
+    this.far = new WorkingSet(random, idleNanos, WorkingSet.LEAST, this::mayUse);
+    this.spare = new WorkingSet(random, idleNanos, 0, this::mayUse);
   }
 
   /** Plans the first call: spread by seed, since all instances may start at once. */
   void start(long nowNanos) {
-    if (settings.mustAsk()) {
+    if (asks) {
       callIn(nowNanos, calls.first(settings.obligations().mustAskInNanos()));
     }
   }
 
   /** From now on a list that is not confirmed may be acted on for a limited time only. */
   void limitAge(long nowNanos, long toldNanos) {
-    lease = new ListLease(nowNanos, toldNanos);
+    lease = new ListLease(nowNanos, toldNanos, !asks);
   }
 
   /** Only the newest plan counts: one call at a time, or all instances together drown discovery. */
@@ -99,9 +101,14 @@
       moving = true;
       movedNanos = nowNanos;
     }
-    subscribed = false;
-    calling = false;
-    callIn(nowNanos, calls.settle(nowNanos - movedNanos));
+    if (lease != null) {
+      lease.moved(nowNanos);
+    }
+    if (asks) {
+      subscribed = false;
+      calling = false;
+      callIn(nowNanos, calls.settle(nowNanos - movedNanos));
+    }
   }
 
   /** Discovery has said that the list is current. */
@@ -109,22 +116,39 @@
     starts.heard(nowNanos);
     if (lease != null) {
       lease.confirmed(nowNanos);
+      trust(nowNanos);
     }
   }
 
-  /** Whether the list may be acted on. */
-  boolean current(long nowNanos) {
-    boolean valid = lease == null || lease.valid(nowNanos, settings.obligations());
-    if (valid == suspended) {
-      suspended = !valid;
+  /** How far the list may be acted on now; what {@link #mayUse} goes by until the next look. */
+  ListTrust trust(long nowNanos) {
+    ListTrust now =
+        lease == null ? ListTrust.CURRENT : lease.trust(nowNanos, settings.obligations());
+    if (now != trust) {
       actions.log(
-          valid
-              ? "list confirmed again, requests are sent"
-              : "list not confirmed for "
-                  + lease.ageNanos(nowNanos) / 1_000_000
-                  + " ms, nothing is sent until it is");
+          "list " + trust + " until now, from now on " + now + "; confirmed " + age(nowNanos));
+      trust = now;
     }
-    return valid;
+    return now;
+  }
+
+  private String age(long nowNanos) {
+    return lease.ageNanos(nowNanos) / 1_000_000 + " ms ago";
+  }
+
+  /** Whether the list lets a server be sent to; {@link #trust} has been asked at this time. */
+  boolean mayUse(Server server, long nowNanos) {
+    return switch (trust) {
+      case CURRENT -> true;
+      case SERVING_ONLY -> ListLease.serving(server.tookNanos, nowNanos, settings.obligations());
+      case NONE -> false;
+    };
+  }
+
+  /** Whether the list lets no server at all be sent to. */
+  boolean suspended(long nowNanos) {
+    return trust(nowNanos) != ListTrust.CURRENT
+        && known.values().stream().noneMatch(server -> mayUse(server, nowNanos));
   }
 
   /** A call has failed or a watch has broken: another call is planned. */
@@ -135,7 +159,7 @@
     if (lease != null) {
       tellLease(nowNanos, form, called);
     }
-    if (!moving) {
+    if (asks && !moving) {
       callIn(nowNanos, waitAfter(form, called, nowNanos - calledNanos));
     }
   }
@@ -149,16 +173,13 @@
 
   private void tellLease(long nowNanos, ListForm form, boolean called) {
     if (!called || form == ListForm.NOT_MADE) {
-      lease.broken();
+      lease.broken(nowNanos);
     } else if (form == ListForm.TURNED_AWAY) {
-      lease.turnedAway(calledNanos, nowNanos, settings.obligations());
+      lease.turnedAway(calledNanos, nowNanos);
     } else if (form == ListForm.CUT_SHORT) {
       lease.cutShort();
     } else {
-      boolean outage = lease.unanswered(calledNanos, settings.obligations());
-      actions.log(
-          "call without an answer, "
-              + (outage ? "taken for an outage: the list's time begins anew" : "no outage"));
+      lease.unanswered();
     }
   }
 
@@ -277,7 +298,10 @@
     server.coldFilledNanos = nowNanos;
     double filled = elapsed * fair * COLD_HEADROOM * capacityShare(server, nowNanos);
     server.coldTokens = Math.min(1.5, server.coldTokens + filled);
-    if (server.coldTokens < 1 || server.part == Part.SPARE || !server.hasRoom(nowNanos)) {
+    if (server.coldTokens < 1
+        || server.part == Part.SPARE
+        || !server.hasRoom(nowNanos)
+        || !mayUse(server, nowNanos)) {
       return null;
     }
     return request.maySendTo(server, nowNanos) ? server : null;
--- a/src/main/java/meadowtrack/core/Server.java
+++ b/src/main/java/meadowtrack/core/Server.java
@@ -45,6 +45,10 @@
 
   long heardNanos = Long.MIN_VALUE / 2;
   long usedNanos = Long.MIN_VALUE / 2;
+
+  /** When the newest attempt was made that it took and served. */
+  long tookNanos = Long.MIN_VALUE / 2;
+
   long restUntilNanos = Long.MIN_VALUE / 2;
   int failures;
   double errorShare;
--- a/src/main/java/meadowtrack/core/WorkingSet.java
+++ b/src/main/java/meadowtrack/core/WorkingSet.java
@@ -23,6 +23,11 @@
   /** Calls of the lighter of two servers that count as no difference. */
   static final double LEVEL_CALLS = 2;
 
+  /** Whether a server may be used at all at a time, whatever room it has. */
+  interface Usable {
+    boolean test(Server server, long nowNanos);
+  }
+
   /** By what they speak: a request draws from those of its protocol alone and those of both. */
   private final List<List<Server>> pools =
       List.of(new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
@@ -31,6 +36,7 @@
   private final int[] joined = new int[Form.MIXES];
 
   private final List<Server> members = new ArrayList<>();
+  private final Usable usable;
   private final SplittableRandom random;
   private final long idleNanos;
   private final int least;
@@ -40,7 +46,8 @@
 
   private double turn;
 
-  WorkingSet(SplittableRandom random, long idleNanos, int least) {
+  WorkingSet(SplittableRandom random, long idleNanos, int least, Usable usable) {
+    this.usable = usable;
     this.random = random;
     this.idleNanos = idleNanos;
     this.least = least;
@@ -103,6 +110,7 @@
       if (nowNanos - server.usedNanos > idleNanos || server.resting(nowNanos)) {
         leave(server);
       } else if (server.hasRoom(nowNanos)
+          && usable.test(server, nowNanos)
           && request.maySendTo(server, nowNanos)
           && (best == null || before(server, best))) {
         best = server;
@@ -138,7 +146,9 @@
   }
 
   private Server join(Request request, long nowNanos) {
-    Server server = find(request, it -> it.memberIndex < 0 && it.hasRoom(nowNanos));
+    Server server =
+        find(
+            request, it -> it.memberIndex < 0 && it.hasRoom(nowNanos) && usable.test(it, nowNanos));
     if (server != null) {
       joined[server.speaks]++;
       server.memberIndex = members.size();
@@ -151,7 +161,12 @@
 
   /** A ready server whatever its window says, for when all are out of service. */
   Server any(Request request, long nowNanos) {
-    return find(request, it -> it.inFlight < it.window.size() && request.maySendTo(it, nowNanos));
+    return find(
+        request,
+        it ->
+            it.inFlight < it.window.size()
+                && usable.test(it, nowNanos)
+                && request.maySendTo(it, nowNanos));
   }
 
   private Server find(Request request, Predicate<Server> fits) {
--- a/src/test/java/meadowtrack/core/Harness.java
+++ b/src/test/java/meadowtrack/core/Harness.java
@@ -67,6 +67,30 @@
         new Settings.Obligations(20 * MS, SECOND, 10 * SECOND, 0.15, 20 * SECOND, 2.5, 2 * SECOND));
   }
 
+  /** The same settings, by which a balancer may leave off asking for so long only. */
+  static Settings mustAskWithin(Settings like, long nanos) {
+    Settings.Obligations rules = like.obligations();
+    return new Settings(
+        like.classes(),
+        like.tenants(),
+        like.overShareWorth(),
+        like.worthByWork(),
+        like.tier(),
+        like.instance(),
+        like.instances(),
+        like.zone(),
+        like.mustAsk(),
+        like.limits(),
+        new Settings.Obligations(
+            rules.graceToAnswerNanos(),
+            rules.stopSendingWithinNanos(),
+            nanos,
+            rules.startCapacity(),
+            rules.warmUpNanos(),
+            rules.tipMultiple(),
+            rules.fallNanos()));
+  }
+
   static ServerEntry ready(long id) {
     return entry(id, Health.READY, 0);
   }
