--- a/src/main/java/maplehall/platform/NodeConfig.java
+++ b/src/main/java/maplehall/platform/NodeConfig.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.CharacterCodingException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
@@ -30,7 +31,7 @@
   static final int LEAST_SOCKETS = 64;
 
   /** A configuration that cannot be used; the message names the field. */
-  public static final class Invalid extends Exception {
+  public static class Invalid extends Exception {
     private static final long serialVersionUID = 1L;
 
     Invalid(String message) {
@@ -38,6 +39,15 @@
     }
   }
 
+  /** A file that could not be read, which may go better in a moment. */
+  public static final class Unreadable extends Invalid {
+    private static final long serialVersionUID = 1L;
+
+    Unreadable(String message) {
+      super(message);
+    }
+  }
+
   NodeSettings node() {
     return new NodeSettings(name, listen, console != null, seed, sockets, settings);
   }
@@ -55,9 +65,17 @@
     if (path == null || path.isEmpty()) {
       throw new Invalid("EDGE_CONFIG is not set");
     }
+    String text;
+    try {
+      text = Files.readString(Path.of(path));
+    } catch (CharacterCodingException | RuntimeException e) {
+      throw new Invalid("EDGE_CONFIG: cannot read " + path + ": " + firstLine(e));
+    } catch (IOException e) {
+      throw new Unreadable("EDGE_CONFIG: cannot read " + path + ": " + firstLine(e));
+    }
     Map<String, Object> json;
     try {
-      json = JSON.std.mapFrom(Files.readString(Path.of(path)));
+      json = JSON.std.mapFrom(text);
     } catch (IOException | RuntimeException e) {
       throw new Invalid("EDGE_CONFIG: cannot read " + path + ": " + firstLine(e));
     }
--- a/src/main/java/maplehall/runtime/Signals.java
+++ b/src/main/java/maplehall/runtime/Signals.java
@@ -7,8 +7,10 @@
   private Signals() {}
 
   /**
-   * Runs the action at each SIGHUP, on a thread of the JVM's. The JDK's only way to a signal is
-   * named at run time, as it is not an API.
+   * Runs the action at each SIGHUP, on a thread of the JVM's. That is a new one for each signal,
+   * and nothing keeps their order, so that they take turns here: the run that begins last sees all
+   * that was there before the newest signal. The JDK's only way to a signal is named at run time,
+   * as it is not an API.
    */
   public static void onHangUp(Runnable action) {
     try {
@@ -27,10 +29,14 @@
     }
   }
 
+  private static synchronized void takeTurn(Runnable action) {
+    action.run();
+  }
+
   private static Object called(Runnable action, Object self, String method, Object[] args) {
     return switch (method) {
       case "handle" -> {
-        action.run();
+        takeTurn(action);
         yield null;
       }
       case "equals" -> self == args[0];
