An operator's mark or a process's sign that cannot be read stands as before

A mark whose file could not be read counted as taken away, and its upstream was put back; what another process of an upgrade holds counted as nothing while its file was being written. MarksTest (2 of 3) and one case of GenerationTest failed before.

--- a/src/main/java/maplehall/operations/Generation.java
+++ b/src/main/java/maplehall/operations/Generation.java
@@ -22,7 +22,7 @@
   static final long SILENT_NANOS = 2_000_000_000L;
 
   /** What another process said last, and when this one saw that for the first time. */
-  private record Sign(FileTime written, long seenNanos) {}
+  private record Sign(FileTime written, long seenNanos, int held) {}
 
   private final Path folder;
   private final int number;
@@ -78,22 +78,20 @@
   }
 
   private int held(int other, Path file, long nowNanos) {
+    Sign sign = signs.get(other);
     try {
       FileTime written = Files.getLastModifiedTime(file);
-      Sign sign = signs.get(other);
-      if (sign == null || !sign.written().equals(written)) {
-        sign = new Sign(written, nowNanos);
-        signs.put(other, sign);
-      }
-      if (nowNanos - sign.seenNanos() >= SILENT_NANOS) {
-        return 0;
-      }
       String said = Files.readString(file); // Empty while it is being written.
-      return said.matches("[0-9]{1,7}") ? Integer.parseInt(said) : 0;
+      boolean news = sign == null || !sign.written().equals(written);
+      int before = sign == null ? 0 : sign.held();
+      int held = said.matches("[0-9]{1,7}") ? Integer.parseInt(said) : before;
+      sign = new Sign(written, news ? nowNanos : sign.seenNanos(), held);
+      signs.put(other, sign);
     } catch (IOException e) {
-      Log.warn("upgrade", "what another process holds is not known: " + e);
-      return 0;
+      Log.warn("upgrade", "what another process holds cannot be read: " + e);
     }
+    boolean lives = sign != null && nowNanos - sign.seenNanos() < SILENT_NANOS;
+    return lives ? sign.held() : 0;
   }
 
   private int highest() {
--- a/src/main/java/maplehall/operations/Marks.java
+++ b/src/main/java/maplehall/operations/Marks.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import java.io.IOException;
+import java.nio.charset.CharacterCodingException;
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
@@ -36,7 +37,7 @@
       Map<String, Mark> found = new HashMap<>();
       try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, "u-*")) {
         for (Path file : files) {
-          Mark mark = found.size() < Rotation.MOST_MARKS ? readFile(file) : null;
+          Mark mark = found.size() < Rotation.MOST_MARKS ? readFile(file, nowMillis) : null;
           if (mark != null) {
             found.put(mark.id(), mark);
           }
@@ -52,18 +53,33 @@
     return Map.copyOf(marks);
   }
 
-  private Mark readFile(Path file) throws IOException {
+  /** A file that cannot be read now says what it said before, or that its upstream is out. */
+  private Mark readFile(Path file, long nowMillis) {
     try {
       if (Files.size(file) > MOST_FILE_BYTES) {
-        throw new IOException("too long");
+        throw new IllegalArgumentException("too long");
       }
       String[] words = Files.readString(file).split("\n");
       return new Mark(words[2], Long.parseLong(words[0]), Long.parseLong(words[1]));
     } catch (NoSuchFileException e) {
       return null; // The other process has just taken it away.
-    } catch (IOException | RuntimeException e) {
+    } catch (CharacterCodingException | RuntimeException e) {
       Log.warn("marks", file.getFileName() + " is not used: " + e);
       return null;
+    } catch (IOException e) {
+      Log.warn("marks", file.getFileName() + " cannot be read: " + e);
+      return unread(file, nowMillis);
+    }
+  }
+
+  private Mark unread(Path file, long nowMillis) {
+    try {
+      byte[] bytes = Base64.getUrlDecoder().decode(file.getFileName().toString().substring(2));
+      String id = new String(bytes, UTF_8);
+      Mark before = marks.get(id);
+      return before != null ? before : Mark.suspend(null, id, nowMillis);
+    } catch (IllegalArgumentException e) {
+      return null; // Its name is none of ours.
     }
   }
 
--- a/src/test/java/maplehall/operations/GenerationTest.java
+++ b/src/test/java/maplehall/operations/GenerationTest.java
@@ -47,6 +47,22 @@
     assertEquals(0, second.heldElsewhere(Generation.SILENT_NANOS));
   }
 
+  /** A file that is being written, or cannot be read, says nothing new. */
+  @Test
+  void whatAnotherHoldsStandsWhileItsFileCannotBeRead() throws Exception {
+    Generation first = new Generation(folder);
+    first.serving(60);
+    Generation second = new Generation(folder);
+    assertEquals(60, second.heldElsewhere(0));
+    Path file = folder.resolve("process-1");
+    Files.writeString(file, "");
+    assertEquals(60, second.heldElsewhere(1));
+    Files.delete(file);
+    Files.createDirectory(file);
+    assertEquals(60, second.heldElsewhere(2));
+    assertEquals(0, second.heldElsewhere(2 + Generation.SILENT_NANOS));
+  }
+
   /** The machine's clock is set by an hour, forward or back, while both live; then one ends. */
   @ParameterizedTest
   @ValueSource(longs = {-3600, 3600})
--- /dev/null
+++ b/src/test/java/maplehall/operations/MarksTest.java
@@ -0,0 +1,61 @@
+package maplehall.operations;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import meadowtrack.rotation.Mark;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A mark whose file cannot be read for a moment stands as before. */
+class MarksTest {
+  private static final long NOW = 1_000_000;
+
+  @TempDir Path folder;
+
+  /** A link to itself in the place of the file: it is there, and its reading fails. */
+  private void makeUnreadable() throws IOException {
+    try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, "u-*")) {
+      for (Path file : files) {
+        Files.delete(file);
+        Files.createSymbolicLink(file, file);
+      }
+    }
+  }
+
+  @Test
+  void anUpstreamThatIsOutStaysOutWhileItsMarkCannotBeRead() throws IOException {
+    Marks marks = new Marks(folder);
+    marks.suspend("s/1", NOW);
+    Mark before = marks.read(NOW).get("s/1");
+    makeUnreadable();
+    assertEquals(before, marks.read(NOW + 1000).get("s/1"));
+  }
+
+  /** By the name of the file alone an upstream that has a mark is taken for out. */
+  @Test
+  void aProcessThatHasNeverReadAMarkTakesItsUpstreamForOut() throws IOException {
+    new Marks(folder).suspend("s/1", NOW);
+    makeUnreadable();
+    Map<String, Mark> seen = new Marks(folder).read(NOW + 1000);
+    assertTrue(seen.get("s/1").out());
+  }
+
+  @Test
+  void aMarkThatWasTakenAwayIsGone() throws IOException {
+    Marks marks = new Marks(folder);
+    marks.suspend("s/1", NOW);
+    try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, "u-*")) {
+      for (Path file : files) {
+        Files.delete(file);
+      }
+    }
+    assertFalse(marks.read(NOW + 1000).containsKey("s/1"));
+  }
+}
