One way to answer signals that read a file, for both kinds of balancer; certificates are looked at again

Measured: SignalledReadTest, StandaloneTest (one case more; not played on the code before), ReloadSeriesTest, TrustTest green. The certificates' mend has no test of its own.

--- a/src/main/java/maplehall/config/Document.java
+++ b/src/main/java/maplehall/config/Document.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.List;
 import maplehall.files.BoundedFile;
+import maplehall.files.FileFault;
 import org.tomlj.Toml;
 import org.tomlj.TomlParseError;
 import org.tomlj.TomlParseResult;
@@ -21,6 +22,7 @@
   private final Path path;
   private final List<Fault> faults = new ArrayList<>();
   private Section root;
+  private boolean unreadable;
 
   private Document(Path path) {
     this.path = path;
@@ -32,6 +34,7 @@
     try {
       document.parse(BoundedFile.text(BoundedFile.read(path, MOST_BYTES)));
     } catch (IOException e) {
+      document.unreadable = !(e instanceof FileFault);
       document.faults.add(new Fault(path.toString(), 0, 0, "", String.valueOf(e.getMessage())));
     }
     return document;
@@ -52,6 +55,11 @@
     return root;
   }
 
+  /** Whether the file is there and could not be read now, so that it may be in a moment. */
+  public boolean unreadable() {
+    return unreadable;
+  }
+
   public Path path() {
     return path;
   }
--- a/src/main/java/maplehall/gateway/IdentityFiles.java
+++ b/src/main/java/maplehall/gateway/IdentityFiles.java
@@ -29,6 +29,9 @@
   private List<Stamp> seen;
   private List<Stamp> read;
 
+  /** What was wrong at the look before, told once. */
+  private String told = "";
+
   /**
    * Follows the files from now on.
    *
@@ -71,12 +74,16 @@
       if (!settled || now.equals(read)) {
         return;
       }
-      read = now;
       Identity next = Identity.read(keys, site);
+      read = now; // Only now: what could not be used may be in a moment, and looks the same then.
+      told = "";
       Log.info("gateway", "new certificate, valid until " + next.until().toInstant());
       taken.accept(next);
     } catch (Identity.Unusable e) {
-      Log.warn("gateway", "certificate left as it was: " + e.getMessage());
+      if (!told.equals(e.getMessage())) {
+        told = String.valueOf(e.getMessage());
+        Log.warn("gateway", "certificate left as it was: " + told);
+      }
     } catch (RuntimeException e) {
       Log.error("gateway", "certificate left as it was", e); // Thrown on, it would end the polls.
     }
--- a/src/main/java/maplehall/standalone/StandaloneConfig.java
+++ b/src/main/java/maplehall/standalone/StandaloneConfig.java
@@ -37,8 +37,12 @@
     PeersTable peers,
     SubsetTable subset,
     LogTable log) {
-  /** A configuration, or what is wrong with the file; one of the two is empty. */
-  public record Result(StandaloneConfig config, List<Fault> faults) {}
+  /**
+   * A configuration, or what is wrong with the file; one of the two is empty.
+   *
+   * @param unreadable whether the file could not be read now, and may be in a moment
+   */
+  public record Result(StandaloneConfig config, List<Fault> faults, boolean unreadable) {}
 
   private static WorkTable work(Document document, NodeSettings node) {
     Settings.Obligations rules = node == null ? null : node.settings().obligations();
@@ -56,7 +60,7 @@
   public static Result read(Path path) {
     Document document = Document.read(path);
     if (document.root() == null) {
-      return new Result(null, document.faults());
+      return new Result(null, document.faults(), document.unreadable());
     }
     NodeSettings node = BalancerTables.read(document.root());
     StandaloneConfig config =
@@ -80,6 +84,6 @@
     }
     document.root().end();
     List<Fault> faults = document.faults();
-    return new Result(faults.isEmpty() ? config : null, faults);
+    return new Result(faults.isEmpty() ? config : null, faults, false);
   }
 }
--- a/src/main/java/maplehall/standalone/StandaloneNode.java
+++ b/src/main/java/maplehall/standalone/StandaloneNode.java
@@ -20,6 +20,7 @@
 import maplehall.node.NodeSettings;
 import maplehall.peers.Peering;
 import maplehall.runtime.Log;
+import maplehall.runtime.SignalledRead;
 import maplehall.subsets.Subsetting;
 import maplehall.work.WorkOrders;
 
@@ -29,6 +30,7 @@
   private static final int MOST_SERVERS_SHOWN = 1000;
 
   private final Path path;
+  private final SignalledRead file = new SignalledRead(this::read);
   private final StandaloneConfig config;
   private final MembersWatcher members;
   private final Node node;
@@ -197,16 +199,23 @@
    * other tables than that of the members are taken at the next start.
    */
   public void reload() {
+    file.signalled();
+  }
+
+  private boolean read(int signal) {
     StandaloneConfig.Result result = StandaloneConfig.read(path);
     if (result.config() == null) {
       Log.warn(
           "reload",
-          "configuration left as it was: "
+          "signal "
+              + signal
+              + ": configuration left as it was: "
               + result.faults().stream().map(Fault::toString).collect(Collectors.joining("; ")));
-      return;
+      return !result.unreadable();
     }
     members.reconfigure(result.config().members());
     Log.info("reload", "members follow " + path);
+    return true;
   }
 
   /** Ends at once, without a drain. */
--- a/src/test/java/maplehall/standalone/StandaloneTest.java
+++ b/src/test/java/maplehall/standalone/StandaloneTest.java
@@ -175,6 +175,26 @@
     }
   }
 
+  /** One signal; the file cannot be read when it comes, and can a moment later. */
+  @Test
+  void aReloadWhoseFileCannotBeReadIsTriedAgain() throws Exception {
+    try (StandaloneFixture fixture = new StandaloneFixture().servers(3)) {
+      fixture.write(fixture.table(0, 1));
+      fixture.start(QUICK);
+      Path config = fixture.workplace.folder().resolve("balancer.toml");
+      Path other = fixture.workplace.members().resolveSibling("other.txt");
+      String next = Files.readString(config).replace("members.txt", "other.txt");
+      Files.writeString(other, fixture.table(0, 1, 2));
+      Files.delete(config);
+      Files.createSymbolicLink(config, config);
+      fixture.node().reload();
+      Files.delete(config);
+      Files.writeString(config, next);
+      MembersWatcher members = fixture.node().members();
+      Await.until("the other list", () -> members.status().inService() == 3);
+    }
+  }
+
   @Test
   void startsFromTheKeptListWhenTheFileIsGone() throws Exception {
     try (StandaloneFixture fixture = new StandaloneFixture().servers(2)) {
