A call for the list that is asked for again keeps its time; trust is looked at once where nothing may be sent

A repeated call kept its place at discovery but was taken for a new one, so that one that waited 3 s could pass for one turned away at once where a balancer has to ask often. meadowtrack.core, UnreachableDiscoveryTest, CrowdedDiscoveryTest green.

--- a/src/main/java/meadowtrack/core/ListTrust.java
+++ b/src/main/java/meadowtrack/core/ListTrust.java
@@ -6,7 +6,7 @@
   CURRENT,
   /**
    * The list may be out of date, and it cannot be told whether discovery runs: only to those that
-   * have just taken and served new work, which a server that drains does not.
+   * have just taken and served new work, which a server that drains turns away.
    */
   SERVING_ONLY,
   /** Discovery runs and has not confirmed the list: to none. */
--- a/src/main/java/meadowtrack/core/Membership.java
+++ b/src/main/java/meadowtrack/core/Membership.java
@@ -90,8 +90,10 @@
 
   private void call(long nowNanos) {
     moving = false;
+    if (!calling) {
+      calledNanos = nowNanos; // Else the one that is out keeps its turn.
+    }
     calling = true;
-    calledNanos = nowNanos;
     actions.watch(true);
   }
 
@@ -147,8 +149,11 @@
 
   /** Whether the list lets no server at all be sent to. */
   boolean suspended(long nowNanos) {
-    return trust(nowNanos) != ListTrust.CURRENT
-        && known.values().stream().noneMatch(server -> mayUse(server, nowNanos));
+    return switch (trust(nowNanos)) {
+      case CURRENT -> false;
+      case SERVING_ONLY -> known.values().stream().noneMatch(server -> mayUse(server, nowNanos));
+      case NONE -> true;
+    };
   }
 
   /** A call has failed or a watch has broken: another call is planned. */
