Servers that serve are used past a list's time only while calls show what may be an outage

Past a list's time servers that serve were used in whatever state calls were; now, as before this incident, a call that was not answered speaks for an outage only, only for as long as the pages give, and only if it was made before a change could count as told. No state lets more be sent than the code before. Also: a move away and back to the address of a watch passed for discovery's word (ReloadTest, failed before); a repeated cut-off of the rig.

--- a/src/main/java/loadrig/platform/ListService.java
+++ b/src/main/java/loadrig/platform/ListService.java
@@ -331,8 +331,9 @@
     }
 
     void refuse(boolean on) {
+      boolean change = on != refuses;
       refuses = on;
-      if (listener == null) {
+      if (listener == null || !change) {
         return;
       }
       if (on) {
--- a/src/main/java/maplehall/platform/DiscoveryClient.java
+++ b/src/main/java/maplehall/platform/DiscoveryClient.java
@@ -178,7 +178,8 @@
       return; // It keeps its turn.
     }
     if (watch != null && watch.uses(address)) {
-      news(watch, DiscoveryList.unchanged(revision));
+      // It goes on telling, and has said nothing just now that would confirm the list.
+      dispatcher.onServers(ListForm.CHANGES, List.of());
       return;
     }
     String cause = keepWatch ? "kept up" : "asked";
--- a/src/main/java/meadowtrack/core/ListLease.java
+++ b/src/main/java/meadowtrack/core/ListLease.java
@@ -9,10 +9,11 @@
  * anew. A call that fails does not, however it fails: from here an outage of discovery looks the
  * same as an address that is wrong or cannot be reached, at which all others are told.
  *
- * <p>What failed calls decide is how far the list is trusted once its time is over. Where the
- * newest of them shows that discovery runs, not at all. Else it may be an outage, in which nothing
- * is told, and a balancer that turned everything away would make it one of the service: servers
- * that go on serving may be used.
+ * <p>What calls have shown decides how far the list is trusted once its time is over. If they were
+ * not answered it may be an outage, in which nothing is told, and a balancer that turned everything
+ * away would make it one of the service: servers that go on serving may be used, for as long as a
+ * change could stay untold if it was one, and on while further calls are not answered. Else nothing
+ * may be sent.
  */
 final class ListLease {
   /**
@@ -41,9 +42,15 @@
   /** When an agent first stopped telling since then. */
   private long untoldNanos = NEVER;
 
+  /** When the newest call was made that was not answered in what may be an outage. */
+  private long unansweredNanos = NEVER;
+
   /** Whether a watch has confirmed the list and not failed since. */
   private boolean watched;
 
+  /** Whether a call or a watch has failed since the list was confirmed. */
+  private boolean failed;
+
   /** Whether the newest failed call shows that discovery runs. */
   private boolean discoveryRuns;
 
@@ -66,7 +73,9 @@
     confirmedNanos = nowNanos;
     movedNanos = NEVER;
     untoldNanos = NEVER;
+    unansweredNanos = NEVER;
     watched = true;
+    failed = false;
     discoveryRuns = false;
   }
 
@@ -80,35 +89,58 @@
    * from here.
    */
   void broken(long nowNanos) {
-    watched = false;
+    fails();
     if (pushed) {
       untoldNanos = Math.min(untoldNanos, nowNanos);
+      unansweredNanos = nowNanos;
     }
   }
 
+  private void fails() {
+    watched = false;
+    failed = true;
+  }
+
   /** A call was answered, and its answer broke off before it told anything. */
   void cutShort() {
-    watched = false;
+    fails();
     discoveryRuns = true;
   }
 
   /** A call was turned away, so long after it was made. */
-  void turnedAway(long calledNanos, long nowNanos) {
-    watched = false;
-    discoveryRuns = nowNanos - calledNanos <= PROMPT_NANOS;
+  void turnedAway(long calledNanos, long nowNanos, Settings.Obligations obligations) {
+    if (nowNanos - calledNanos > PROMPT_NANOS) {
+      unanswered(calledNanos, obligations);
+      return;
+    }
+    fails();
+    discoveryRuns = true;
   }
 
-  /** A call has ended with nothing that shows that discovery runs. */
-  void unanswered() {
-    watched = false;
+  /**
+   * A call has ended with nothing that shows that discovery runs. After one that was turned away
+   * the first such call is taken for a long queue. One that was made when a change may have counted
+   * as told already shows no outage in which it was not.
+   */
+  void unanswered(long calledNanos, Settings.Obligations obligations) {
+    long known = unansweredNanos == NEVER ? confirmedNanos : unansweredNanos;
+    long limit = failed ? toldNanos : Math.max(toldNanos, obligations.mustAskInNanos());
+    boolean outage = !discoveryRuns && calledNanos < known + limit;
+    fails();
+    if (outage) {
+      unansweredNanos = Math.max(known, calledNanos);
+    }
     discoveryRuns = false;
   }
 
+  /** How far the list may be acted on. */
   ListTrust trust(long nowNanos, Settings.Obligations obligations) {
-    if (nowNanos < endNanos(obligations)) {
+    long grace = obligations.stopSendingWithinNanos() - MARGIN_NANOS;
+    if (nowNanos < earliestToldNanos(obligations) + grace) {
       return ListTrust.CURRENT;
     }
-    return discoveryRuns ? ListTrust.NONE : ListTrust.SERVING_ONLY;
+    boolean mayBeOutage = nowNanos < toldAfterOutageNanos(obligations) + grace;
+    return mayBeOutage ? ListTrust.SERVING_ONLY : ListTrust.NONE;
   }
 
   /**
@@ -119,18 +151,27 @@
     return nowNanos < tookNanos + obligations.stopSendingWithinNanos() - MARGIN_NANOS;
   }
 
-  /** Until when the list may be acted on if nothing more is heard. */
-  private long endNanos(Settings.Obligations obligations) {
-    return untilToldNanos(obligations) + obligations.stopSendingWithinNanos() - MARGIN_NANOS;
-  }
-
   /** The earliest time at which a change that was not heard can count as told. */
-  private long untilToldNanos(Settings.Obligations obligations) {
+  private long earliestToldNanos(Settings.Obligations obligations) {
     long told = confirmedNanos + limitNanos(obligations);
-    if (movedNanos != NEVER) {
-      told = Math.min(told, movedNanos + MOVE_NANOS);
+    return Math.min(Math.min(told, untoldNanos), toldWithMoveNanos());
+  }
+
+  /** The same if discovery was down when the newest call was made that was not answered. */
+  private long toldAfterOutageNanos(Settings.Obligations obligations) {
+    if (!failed) {
+      // With no call that failed a balancer is held to its list for as long as it may not ask.
+      return Math.min(confirmedNanos + obligations.mustAskInNanos(), toldWithMoveNanos());
+    }
+    if (unansweredNanos == NEVER || discoveryRuns) {
+      return confirmedNanos;
     }
-    return Math.min(told, untoldNanos);
+    long limit = limitNanos(obligations);
+    return unansweredNanos + (movedNanos == NEVER ? limit : Math.min(limit, MOVE_NANOS));
+  }
+
+  private long toldWithMoveNanos() {
+    return movedNanos == NEVER ? NEVER : movedNanos + MOVE_NANOS;
   }
 
   /** With no watch a balancer is held to its list for as long as it may leave off asking. */
--- a/src/main/java/meadowtrack/core/ListTrust.java
+++ b/src/main/java/meadowtrack/core/ListTrust.java
@@ -5,10 +5,10 @@
   /** To each that the list names as in service. */
   CURRENT,
   /**
-   * The list may be out of date, and it cannot be told whether discovery runs: only to those that
-   * have just taken and served new work, which a server that drains turns away.
+   * The list may be out of date, and discovery may be down: only to those that have just taken and
+   * served new work, which a server that drains turns away.
    */
   SERVING_ONLY,
-  /** Discovery runs and has not confirmed the list: to none. */
+  /** The list may be out of date, and nothing speaks for an outage of discovery: to none. */
   NONE
 }
--- a/src/main/java/meadowtrack/core/Membership.java
+++ b/src/main/java/meadowtrack/core/Membership.java
@@ -180,11 +180,11 @@
     if (!called || form == ListForm.NOT_MADE) {
       lease.broken(nowNanos);
     } else if (form == ListForm.TURNED_AWAY) {
-      lease.turnedAway(calledNanos, nowNanos);
+      lease.turnedAway(calledNanos, nowNanos, settings.obligations());
     } else if (form == ListForm.CUT_SHORT) {
       lease.cutShort();
     } else {
-      lease.unanswered();
+      lease.unanswered(calledNanos, settings.obligations());
     }
   }
 
--- a/src/test/java/maplehall/platform/ReloadTest.java
+++ b/src/test/java/maplehall/platform/ReloadTest.java
@@ -75,4 +75,32 @@
       assertEquals("second", client.call(Client.get("/api/x", "")).text());
     }
   }
+
+  /** The watch at the address to which it comes back has been silent: it has confirmed nothing. */
+  @Test
+  void aMoveAwayAndBackConfirmsNothing() throws Exception {
+    BlockingQueue<Peer.Connection> watches = new LinkedBlockingQueue<>();
+    Path file = folder.resolve("config.json");
+    try (Peer discovery = discovery(watches);
+        Peer server = Peer.serving("served");
+        Fixture fixture =
+            new Fixture()
+                .upstream(server)
+                .asking(discovery)
+                .mustAskWithin(10_000)
+                .grace(500)
+                .file(file)
+                .start()) {
+      line(watches.poll(30, TimeUnit.SECONDS), "");
+      fixture.pushedAt("127.0.0.1:1").file(file);
+      fixture.reload().reload();
+      fixture.asking(discovery).file(file);
+      fixture.reload().reload();
+      // Past 4 s and the grace after the move, and before 6 s and the grace after the way back.
+      Thread.sleep(6200);
+      try (Client client = fixture.client()) {
+        assertEquals(503, client.call(Client.get("/api/x", "")).status());
+      }
+    }
+  }
 }
