--- a/src/main/java/maplehall/platform/Reload.java
+++ b/src/main/java/maplehall/platform/Reload.java
@@ -1,25 +1,23 @@
 package maplehall.platform;
 
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicInteger;
 import maplehall.node.Node;
 import maplehall.runtime.Log;
+import maplehall.runtime.SignalledRead;
 import maplehall.runtime.Signals;
 
 /**
  * SIGHUP: the configuration is read again. Requests that are taken from then on go by its settings,
  * those that are open keep theirs, and discovery is asked at the address that it names now. Without
- * this the JVM takes the signal for one to end on. A file that cannot be used changes nothing,
- * since a balancer that runs on its old settings is better than none.
+ * this the JVM takes the signal for one to end on. A file whose text is no configuration changes
+ * nothing, since a balancer that runs on its old settings is better than none.
  */
 public final class Reload {
   private final Node node;
   private final NodeConfig started;
   private final Map<String, String> environment;
   private final DiscoveryClient discovery;
-
-  /** Of each reload in the log: which signal read which file, and in which order they are taken. */
-  private final AtomicInteger signals = new AtomicInteger();
+  private final SignalledRead file = new SignalledRead(this::read);
 
   Reload(
       Node node, NodeConfig started, Map<String, String> environment, DiscoveryClient discovery) {
@@ -36,22 +34,30 @@
 
   /** Reads the file on the calling thread and leaves the rest to the loop. */
   public void reload() {
-    int number = signals.incrementAndGet();
+    file.signalled();
+  }
+
+  private boolean read(int signal) {
     try {
       NodeConfig config = NodeConfig.load(environment);
-      Log.info("reload", "file of signal " + number + ": discovery is at " + config.discovery());
+      Log.info("reload", "file of signal " + signal + ": discovery is at " + config.discovery());
       if (!config.sameProcess(started)) {
         Log.warn(
             "reload", "other addresses, limits of sockets or ways of discovery need a restart");
       }
-      node.loop().execute(() -> take(number, config));
+      node.loop().execute(() -> take(signal, config));
+      return true;
+    } catch (NodeConfig.Unreadable e) {
+      Log.warn("reload", "signal " + signal + ": " + e.getMessage() + "; it is read again");
+      return false;
     } catch (NodeConfig.Invalid | RuntimeException e) {
-      Log.warn("reload", "signal " + number + ": configuration left as it was: " + e.getMessage());
+      Log.warn("reload", "signal " + signal + ": configuration left as it was: " + e.getMessage());
+      return true;
     }
   }
 
-  private void take(int number, NodeConfig config) {
-    Log.info("reload in force", "file of signal " + number);
+  private void take(int signal, NodeConfig config) {
+    Log.info("reload in force", "file of signal " + signal);
     node.reload(config.settings());
     discovery.reload(config.settings());
     discovery.moveTo(config.discovery());
