--- a/src/main/java/meadowtrack/core/Membership.java
+++ b/src/main/java/meadowtrack/core/Membership.java
@@ -69,6 +69,10 @@
   /** From now on a list that is not confirmed may be acted on for a limited time only. */
   void limitAge(long nowNanos, long toldNanos) {
     lease = new ListLease(nowNanos, toldNanos, !asks);
+    if (asks && callDueNanos - nowNanos > toldNanos) {
+      // Spread over the time for asking the first call would come when changes have been told.
+      callIn(nowNanos, (callDueNanos - nowNanos) % toldNanos);
+    }
   }
 
   /** Only the newest plan counts: one call at a time, or all instances together drown discovery. */
--- a/src/test/java/meadowtrack/core/ListLeaseTest.java
+++ b/src/test/java/meadowtrack/core/ListLeaseTest.java
@@ -287,6 +287,19 @@
     assertEquals(1, harness.sent.size());
   }
 
+  /** Settings may let a balancer ask seldom; a change counts as told after 6 s all the same. */
+  @Test
+  void theFirstCallComesBeforeAChangeCanCountAsTold() {
+    int late = 0;
+    for (long seed = 0; seed < 20; seed++) {
+      Harness harness = new Harness(Harness.mustAskWithin(settings, 60 * SECOND), seed);
+      harness.balancer.limitListAge(harness.now, TOLD);
+      harness.advance(TOLD);
+      late += harness.watches == 0 ? 1 : 0;
+    }
+    assertEquals(0, late);
+  }
+
   /** What an agent has counts as told whether or not a watch is open. */
   @Test
   void aPushedListHoldsForTheGraceOnceItsWatchHasBroken() {
