--- a/src/main/java/maplehall/platform/DiscoveryClient.java
+++ b/src/main/java/maplehall/platform/DiscoveryClient.java
@@ -205,6 +205,7 @@
     if (stopped || (call != watch && call != pending && call != fetch)) {
       return;
     }
+    boolean fellSilent = call == watch && how == ListForm.SILENT;
     if (call == fetch) {
       fetch = null;
     } else if (call == watch) {
@@ -218,6 +219,9 @@
     }
     if (call.isWatch() && keepWatch) {
       loop.schedule(() -> watchAgain(), clock.againMillis(), MILLISECONDS);
+      if (fellSilent) {
+        return; // The list ages from its last line; the next call shows what it was.
+      }
     }
     dispatcher.onDiscoveryFailed(how);
   }
--- a/src/main/java/maplehall/platform/ListCall.java
+++ b/src/main/java/maplehall/platform/ListCall.java
@@ -81,6 +81,7 @@
   private final ListFramer framer = new ListFramer(MOST_LINE_BYTES);
   private Channel channel;
   private Future<?> silence;
+  private boolean connected;
   private boolean begun;
   private boolean told;
   private boolean closed;
@@ -154,6 +155,7 @@
       end("cannot connect: " + cause, notReached(cause) ? ListForm.BROKEN : ListForm.NOT_MADE);
       return;
     }
+    connected = true;
     FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
     request.headers().set(HttpHeaderNames.HOST, to.getHostString() + ":" + to.getPort());
     if (!stream) {
@@ -182,7 +184,7 @@
       silence.cancel(false);
     }
     long millis = told ? listener.clock().lineMillis() : listener.clock().firstLineMillis();
-    silence = loop.schedule(() -> fail("silent for " + millis + " ms"), millis, MILLISECONDS);
+    silence = loop.schedule(() -> silent(millis), millis, MILLISECONDS);
   }
 
   @Override
@@ -278,6 +280,19 @@
     fail(String.valueOf(cause.getMessage()));
   }
 
+  private void silent(long millis) {
+    // An agent says nothing while discovery is down, whatever it has begun to say.
+    boolean cut = begun && !told && !listener.clock().pushed();
+    end("silent for " + millis + " ms", form(cut));
+  }
+
+  private ListForm form(boolean cut) {
+    if (cut) {
+      return ListForm.CUT_SHORT;
+    }
+    return connected ? ListForm.SILENT : ListForm.BROKEN;
+  }
+
   private void fail(String why) {
     end(why, begun ? ListForm.CUT_SHORT : ListForm.BROKEN);
   }
--- a/src/main/java/meadowtrack/api/ListForm.java
+++ b/src/main/java/meadowtrack/api/ListForm.java
@@ -18,6 +18,8 @@
   TURNED_AWAY,
   /** Discovery began to answer a call, and the answer broke off before it told anything. */
   CUT_SHORT,
+  /** A call was taken or a watch was open, and nothing came any more; no entries. */
+  SILENT,
   /** A call could not be made from here, which tells nothing of discovery; no entries. */
   NOT_MADE;
 
@@ -33,6 +35,10 @@
 
   /** Whether a call or a subscription has failed; such news has no entries. */
   public boolean failure() {
-    return this == BROKEN || this == TURNED_AWAY || this == CUT_SHORT || this == NOT_MADE;
+    return this == BROKEN
+        || this == TURNED_AWAY
+        || this == CUT_SHORT
+        || this == SILENT
+        || this == NOT_MADE;
   }
 }
--- a/src/main/java/meadowtrack/core/ListLease.java
+++ b/src/main/java/meadowtrack/core/ListLease.java
@@ -39,6 +39,9 @@
   /** When discovery first moved since then. */
   private long movedNanos = NEVER;
 
+  /** When an agent was last found to be silent; when the list was confirmed if that is later. */
+  private long silentNanos;
+
   /** When an agent first stopped telling since then. */
   private long untoldNanos = NEVER;
 
@@ -65,12 +68,14 @@
     this.toldNanos = toldNanos;
     this.pushed = pushed;
     this.confirmedNanos = nowNanos;
+    this.silentNanos = nowNanos;
     this.untoldNanos = pushed ? nowNanos : NEVER;
   }
 
   /** Discovery has said that the list is current. */
   void confirmed(long nowNanos) {
     confirmedNanos = nowNanos;
+    silentNanos = nowNanos;
     movedNanos = NEVER;
     untoldNanos = NEVER;
     unansweredNanos = NEVER;
@@ -96,6 +101,17 @@
     }
   }
 
+  /**
+   * An agent has taken a call and said nothing, as it does while discovery is down: it learns
+   * nothing then, and what it gets later counts from then on.
+   */
+  void agentSilent(long nowNanos) {
+    fails();
+    silentNanos = nowNanos;
+    unansweredNanos = nowNanos;
+    untoldNanos = NEVER;
+  }
+
   private void fails() {
     watched = false;
     failed = true;
@@ -153,7 +169,7 @@
 
   /** The earliest time at which a change that was not heard can count as told. */
   private long earliestToldNanos(Settings.Obligations obligations) {
-    long told = confirmedNanos + limitNanos(obligations);
+    long told = silentNanos + limitNanos(obligations);
     return Math.min(Math.min(told, untoldNanos), toldWithMoveNanos());
   }
 
--- a/src/main/java/meadowtrack/core/Membership.java
+++ b/src/main/java/meadowtrack/core/Membership.java
@@ -181,7 +181,9 @@
   }
 
   private void tellLease(long nowNanos, ListForm form, boolean called) {
-    if (!called || form == ListForm.NOT_MADE) {
+    if (!asks && form == ListForm.SILENT) {
+      lease.agentSilent(nowNanos);
+    } else if (!called || form == ListForm.NOT_MADE) {
       lease.broken(nowNanos);
     } else if (form == ListForm.TURNED_AWAY) {
       lease.turnedAway(calledNanos, nowNanos, settings.obligations());
--- a/src/test/java/meadowtrack/core/ListLeaseTest.java
+++ b/src/test/java/meadowtrack/core/ListLeaseTest.java
@@ -40,7 +40,7 @@
   private void begin(Settings of) {
     h = new Harness(of);
     h.balancer.limitListAge(h.now, TOLD);
-    while (h.watches == 0) {
+    while (of.mustAsk() && h.watches == 0) {
       h.advance(10 * MS);
     }
     h.readyServers(3);
@@ -402,6 +402,21 @@
     assertFalse(sends());
   }
 
+  /** Its agent learns nothing while it is silent; one that is not there may have been told. */
+  @Test
+  void aPushedListHoldsWhileItsAgentIsSilentAndNotWhileNobodyListens() {
+    Settings pushed = Harness.settings(0, true, false, Harness.safe("read"));
+    begin(pushed);
+    for (int i = 0; i < 30; i++) {
+      h.advance(2 * SECOND);
+      fail(ListForm.SILENT);
+      assertTrue(sends());
+    }
+    fail(ListForm.BROKEN);
+    h.advance(pushed.obligations().stopSendingWithinNanos() - ListLease.MARGIN_NANOS);
+    assertFalse(sends());
+  }
+
   @Test
   void aMoveIsFollowedByOneCallSoon() {
     int before = h.watches;
