--- a/src/main/java/meadowtrack/core/Membership.java
+++ b/src/main/java/meadowtrack/core/Membership.java
@@ -69,6 +69,10 @@
   /** From now on a list that is not confirmed may be acted on for a limited time only. */
   void limitAge(long nowNanos, long toldNanos) {
     lease = new ListLease(nowNanos, toldNanos, !asks);
+    if (asks && callDueNanos - nowNanos > toldNanos) {
+      // Spread over the time for asking the first call would come when changes have been told.
+      callIn(nowNanos, (callDueNanos - nowNanos) % toldNanos);
+    }
   }
 
   /** Only the newest plan counts: one call at a time, or all instances together drown discovery. */
@@ -177,7 +181,9 @@
   }
 
   private void tellLease(long nowNanos, ListForm form, boolean called) {
-    if (!called || form == ListForm.NOT_MADE) {
+    if (!asks && form == ListForm.SILENT) {
+      lease.agentSilent(nowNanos);
+    } else if (!called || form == ListForm.NOT_MADE) {
       lease.broken(nowNanos);
     } else if (form == ListForm.TURNED_AWAY) {
       lease.turnedAway(calledNanos, nowNanos, settings.obligations());
