--- a/src/test/java/meadowtrack/core/ListLeaseTest.java
+++ b/src/test/java/meadowtrack/core/ListLeaseTest.java
@@ -40,7 +40,7 @@
   private void begin(Settings of) {
     h = new Harness(of);
     h.balancer.limitListAge(h.now, TOLD);
-    while (h.watches == 0) {
+    while (of.mustAsk() && h.watches == 0) {
       h.advance(10 * MS);
     }
     h.readyServers(3);
@@ -287,6 +287,19 @@
     assertEquals(1, harness.sent.size());
   }
 
+  /** Settings may let a balancer ask seldom; a change counts as told after 6 s all the same. */
+  @Test
+  void theFirstCallComesBeforeAChangeCanCountAsTold() {
+    int late = 0;
+    for (long seed = 0; seed < 20; seed++) {
+      Harness harness = new Harness(Harness.mustAskWithin(settings, 60 * SECOND), seed);
+      harness.balancer.limitListAge(harness.now, TOLD);
+      harness.advance(TOLD);
+      late += harness.watches == 0 ? 1 : 0;
+    }
+    assertEquals(0, late);
+  }
+
   /** What an agent has counts as told whether or not a watch is open. */
   @Test
   void aPushedListHoldsForTheGraceOnceItsWatchHasBroken() {
@@ -389,6 +402,21 @@
     assertFalse(sends());
   }
 
+  /** Its agent learns nothing while it is silent; one that is not there may have been told. */
+  @Test
+  void aPushedListHoldsWhileItsAgentIsSilentAndNotWhileNobodyListens() {
+    Settings pushed = Harness.settings(0, true, false, Harness.safe("read"));
+    begin(pushed);
+    for (int i = 0; i < 30; i++) {
+      h.advance(2 * SECOND);
+      fail(ListForm.SILENT);
+      assertTrue(sends());
+    }
+    fail(ListForm.BROKEN);
+    h.advance(pushed.obligations().stopSendingWithinNanos() - ListLease.MARGIN_NANOS);
+    assertFalse(sends());
+  }
+
   @Test
   void aMoveIsFollowedByOneCallSoon() {
     int before = h.watches;
