A process whose configuration cannot be read for a moment starts all the same

A file that is there is read again every 50 ms for 5 s. ReloadSeriesTest one case more, failed before (n0 did not start). A file that is not there is named so.

--- a/src/main/java/maplehall/Main.java
+++ b/src/main/java/maplehall/Main.java
@@ -48,7 +48,7 @@
     Log.setUp();
     NodeConfig config;
     try {
-      config = NodeConfig.load(environment);
+      config = NodeConfig.loadAtStart(environment);
     } catch (NodeConfig.Invalid e) {
       System.err.println(e.getMessage());
       return 1;
--- a/src/main/java/maplehall/platform/NodeConfig.java
+++ b/src/main/java/maplehall/platform/NodeConfig.java
@@ -5,10 +5,13 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.CharacterCodingException;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.locks.LockSupport;
 import maplehall.node.NodeSettings;
 import maplehall.runtime.Addresses;
+import maplehall.runtime.Log;
 import meadowtrack.adapter.SettingsReader;
 import meadowtrack.api.Settings;
 
@@ -30,6 +33,11 @@
   /** Fewer would not leave room for the JVM's own files, discovery and a handful of requests. */
   static final int LEAST_SOCKETS = 64;
 
+  /** Five seconds in all: most processes are to be ready within ten. */
+  private static final int MOST_START_TRIES = 100;
+
+  private static final long START_WAIT_NANOS = 50_000_000L;
+
   /** A configuration that cannot be used; the message names the field. */
   public static class Invalid extends Exception {
     private static final long serialVersionUID = 1L;
@@ -59,6 +67,24 @@
         && settings.mustAsk() == other.settings.mustAsk();
   }
 
+  /**
+   * Reads the file for a process that starts: one that is there and cannot be read for a moment is
+   * read again for a while, as there is nothing to go on with without it.
+   */
+  public static NodeConfig loadAtStart(Map<String, String> environment) throws Invalid {
+    for (int i = 1; ; i++) {
+      try {
+        return load(environment);
+      } catch (Unreadable e) {
+        if (i == MOST_START_TRIES || Files.notExists(Path.of(environment.get("EDGE_CONFIG")))) {
+          throw e;
+        }
+        Log.warn("start", e.getMessage() + "; it is read again");
+        LockSupport.parkNanos(START_WAIT_NANOS);
+      }
+    }
+  }
+
   /** Reads the file that {@code EDGE_CONFIG} names. */
   public static NodeConfig load(Map<String, String> environment) throws Invalid {
     String path = environment.get("EDGE_CONFIG");
@@ -163,6 +189,9 @@
   }
 
   private static String firstLine(Exception e) {
+    if (e instanceof NoSuchFileException) {
+      return "it is not there"; // Its message is the path alone.
+    }
     return String.valueOf(e.getMessage()).lines().findFirst().orElse(e.toString());
   }
 }
--- a/src/test/java/loadrig/platform/ReloadSeriesTest.java
+++ b/src/test/java/loadrig/platform/ReloadSeriesTest.java
@@ -56,6 +56,16 @@
     }
   }
 
+  /** A process that is started anew has no configuration of before to go on with. */
+  @Test
+  void aProcessStartsThoughItsFileCannotBeReadAtFirst() throws Exception {
+    try (PlatformFleet fleet = new PlatformFleet(97, TERMS, SHAPE)) {
+      system.fail(SystemFaults.Call.READ_CONFIGURATION, SystemFaults.Errno.EIO, 3);
+      start(fleet);
+      assertEquals(0, system.left(SystemFaults.Call.READ_CONFIGURATION), "all have failed");
+    }
+  }
+
   @Test
   void aFileThatCouldNotBeReadIsReadAgain() throws Exception {
     try (PlatformFleet fleet = new PlatformFleet(96, TERMS, SHAPE)) {
