--- a/src/main/java/meadowtrack/core/ListLease.java
+++ b/src/main/java/meadowtrack/core/ListLease.java
@@ -103,13 +103,15 @@
 
   /**
    * An agent has taken a call and said nothing, as it does while discovery is down: it learns
-   * nothing then, and what it gets later counts from then on.
+   * nothing then, and what it gets later counts from then on. What it had before that counts all
+   * the same, if nobody was listening to it then.
    */
   void agentSilent(long nowNanos) {
     fails();
-    silentNanos = nowNanos;
     unansweredNanos = nowNanos;
-    untoldNanos = NEVER;
+    if (untoldNanos == NEVER) {
+      silentNanos = nowNanos;
+    }
   }
 
   private void fails() {
--- a/src/test/java/meadowtrack/core/ListLeaseTest.java
+++ b/src/test/java/meadowtrack/core/ListLeaseTest.java
@@ -415,6 +415,8 @@
     fail(ListForm.BROKEN);
     h.advance(pushed.obligations().stopSendingWithinNanos() - ListLease.MARGIN_NANOS);
     assertFalse(sends());
+    fail(ListForm.SILENT); // It may have been told before it fell silent.
+    assertFalse(sends());
   }
 
   @Test
