--- a/src/main/java/meadowtrack/core/ListLease.java
+++ b/src/main/java/meadowtrack/core/ListLease.java
@@ -6,8 +6,9 @@
  * For how long the newest list of servers may be acted on. A change counts as told some time after
  * discovery had it, whether or not it arrived, and nothing may be sent to a drained server once the
  * grace has passed after that. Only discovery's own word that the list is current begins that time
- * anew. A call that fails does not, however it fails: from here an outage of discovery looks the
- * same as an address that is wrong or cannot be reached, at which all others are told.
+ * anew. A call that fails does not: from here an outage of discovery looks the same as an address
+ * that is wrong or cannot be reached, at which all others are told. The one exception is the form
+ * that the pages give an outage: a call that was taken, held and turned away.
  *
  * <p>What calls have shown decides how far the list is trusted once its time is over. If they were
  * not answered it may be an outage, in which nothing is told, and a balancer that turned everything
@@ -39,8 +40,12 @@
   /** When discovery first moved since then. */
   private long movedNanos = NEVER;
 
-  /** When an agent was last found to be silent; when the list was confirmed if that is later. */
-  private long silentNanos;
+  /**
+   * When discovery was last seen to be down by its own showing, as the pages have it: a call that
+   * it held for seconds and turned away, an agent that took one and was silent. Nothing is told
+   * then. When the list was confirmed if that is later.
+   */
+  private long downNanos;
 
   /** When an agent first stopped telling since then. */
   private long untoldNanos = NEVER;
@@ -68,14 +73,14 @@
     this.toldNanos = toldNanos;
     this.pushed = pushed;
     this.confirmedNanos = nowNanos;
-    this.silentNanos = nowNanos;
+    this.downNanos = nowNanos;
     this.untoldNanos = pushed ? nowNanos : NEVER;
   }
 
   /** Discovery has said that the list is current. */
   void confirmed(long nowNanos) {
     confirmedNanos = nowNanos;
-    silentNanos = nowNanos;
+    downNanos = nowNanos;
     movedNanos = NEVER;
     untoldNanos = NEVER;
     unansweredNanos = NEVER;
@@ -110,7 +115,7 @@
     fails();
     unansweredNanos = nowNanos;
     if (untoldNanos == NEVER) {
-      silentNanos = nowNanos;
+      downNanos = nowNanos;
     }
   }
 
@@ -128,7 +133,9 @@
   /** A call was turned away, so long after it was made. */
   void turnedAway(long calledNanos, long nowNanos, Settings.Obligations obligations) {
     if (nowNanos - calledNanos > PROMPT_NANOS) {
+      boolean down = !discoveryRuns && calledNanos < earliestToldNanos(obligations);
       unanswered(calledNanos, obligations);
+      downNanos = down ? Math.max(downNanos, calledNanos) : downNanos;
       return;
     }
     fails();
@@ -171,7 +178,7 @@
 
   /** The earliest time at which a change that was not heard can count as told. */
   private long earliestToldNanos(Settings.Obligations obligations) {
-    long told = silentNanos + limitNanos(obligations);
+    long told = downNanos + limitNanos(obligations);
     return Math.min(Math.min(told, untoldNanos), toldWithMoveNanos());
   }
 
@@ -189,7 +196,10 @@
   }
 
   private long toldWithMoveNanos() {
-    return movedNanos == NEVER ? NEVER : movedNanos + MOVE_NANOS;
+    if (movedNanos == NEVER) {
+      return NEVER;
+    }
+    return (pushed ? movedNanos : Math.max(movedNanos, downNanos)) + MOVE_NANOS;
   }
 
   /** With no watch a balancer is held to its list for as long as it may leave off asking. */
