Review case 3: a keyed request is sent after its window when its connection is late

An attempt whose connection comes up 1.0 s late is written although a hedge of the same request was written 0.95 s before and the window is 0.4 s: both upstreams run it.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+here=$(dirname "$0")
+exec sh "$here/../run-case.sh" "$here" LateConnection
