--- a/review/standins/UnfinishedHeads.java
+++ b/review/standins/UnfinishedHeads.java
@@ -9,8 +9,8 @@
  * meanwhile; each is owed an answer, and the balancer has to go on.
  */
 final class UnfinishedHeads {
-  /** Under a third of the 1,024 descriptors. */
-  private static final int BAD_CLIENTS = 300;
+  /** Under a third of the 672 descriptors. */
+  private static final int BAD_CLIENTS = 200;
 
   /** Under the length at which the balancer turns a head away (16 KiB). */
   private static final int HEAD_BYTES = 16_000;
@@ -44,10 +44,10 @@
             folder.resolve("balancer.log"),
             new Kit.Discovery(list),
             list,
-            192,
-            1024,
+            160,
+            672,
             Kit.settings(Kit.requestClass("view-week", "read_like", 2500, 6000, 5000), 250, 0));
-    record.add("balancer ready: memory 192 MB, 1024 descriptors");
+    record.add("balancer ready: memory 160 MB, 672 descriptors");
 
     AtomicInteger answered = new AtomicInteger();
     AtomicInteger unanswered = new AtomicInteger();
