Review case 3: long requests wait without limit behind clients that write slowly

Ten clients write 900,000 bytes each at 100 kB a second and take the budget of bodies; a request of 96 KiB that has come whole is answered 8.5 s after its last byte, its time being 6 s.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 here=$(dirname "$0")
-exec sh "$here/../run-case.sh" "$here" LateConnection
+exec sh "$here/../run-case.sh" "$here" SlowWriters
