--- a/review/standins/LateSecondAnswer.java
+++ b/review/standins/LateSecondAnswer.java
@@ -78,9 +78,11 @@
             Kit.settings(Kit.requestClass("view-week", "read_like", 2500, 6000, 5000), 250, 0));
     record.add("balancer ready");
     boolean held = true;
-    try (Kit.Client client = new Kit.Client(balancer.port)) {
+    try (Kit.Client one = new Kit.Client(balancer.port);
+        Kit.Client other = new Kit.Client(balancer.port)) {
       for (int i = 0; i < REQUESTS; i++) {
         String id = "r-" + i;
+        Kit.Client client = i % 2 == 0 ? one : other; // Two callers, one request at a time.
         client.send("GET", "/api/" + id, id, "view-week", "X-Deadline: 6.000\r\n", null);
         record.add(id + " sent");
         Kit.Message answer = client.answer(6600);
