Limit the heap that large heads occupy on all connections together

Cause: each head was limited to 16 KiB on the wire, but nothing limited what all heads hold together. A decoded line takes some 150 bytes of heap beside its characters, so such a head takes 330 KB of the 36 MB.

Change: HeadMemoryBudget counts the decoded heads of all connections, incomplete ones, complete ones and those queued behind an open request, for clients and for answers of upstreams. Over 5 MB the connection with the largest heads gives up what nothing depends on: a client is refused with 503, an answer fails its attempt. Connections with less than 8 KB are not counted. Input after the last request of a connection is discarded undecoded, and an upstream connection that rests keeps no head.

New refusals: heads over 8 KB while over 5 MB of such are held.

--- a/src/main/java/heathswitch/proxy/http1/ClientConnection.java
+++ b/src/main/java/heathswitch/proxy/http1/ClientConnection.java
@@ -44,7 +44,7 @@
 
 /** A client connection; processes one request at a time. */
 final class ClientConnection extends ChannelInboundHandlerAdapter
-    implements Caller, StreamedAnswerSink {
+    implements Caller, StreamedAnswerSink, HeadMemoryBudget.Holder {
   /** Requests that declare a longer body are rejected unread. Clients send up to 32 MB. */
   static final long MAX_BODY_BYTES = 40L << 20;
 
@@ -111,13 +111,19 @@
   private final Dispatcher dispatcher;
   private final Clock clock;
   private final Channel channel;
-  private final StrictRequestDecoder decoder;
+
+  /** Null once no further request is read; input is then discarded undecoded. */
+  private StrictRequestDecoder decoder;
+
   private final PipelineQueue pipelined = new PipelineQueue();
   private Phase phase = Phase.IDLE;
   private long timerStartNanos;
   private long headStartedNanos;
   private HttpRequest head;
 
+  /** The estimated heap of the head of the current request, until it is answered. */
+  private long headBytes;
+
   /** The value of {@link Dispatcher#reloads} when the head was validated. */
   private int settingsReloads;
 
@@ -173,6 +179,10 @@
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     decoding = true;
+    if (message instanceof ByteBuf undecoded) {
+      discard(undecoded);
+      return;
+    }
     HttpObject part = (HttpObject) message;
     boolean busy = phase == Phase.REQUEST_COMPLETE || phase == Phase.AWAITING_ANSWER;
     if (busy || !pipelined.isEmpty() || pipelined.hasOverflowed()) {
@@ -188,11 +198,27 @@
     if (pipelined.hasOverflowed()) {
       keepAlive = false;
     }
+    pauseAfterLongOverflow();
+  }
+
+  private void pauseAfterLongOverflow() {
     if (pipelined.overflowLimitExceeded()) {
       channel.config().setAutoRead(false);
     }
   }
 
+  /** Discards input that arrives after the last request that is read. */
+  private void discard(ByteBuf undecoded) {
+    int bytes = undecoded.readableBytes();
+    undecoded.release();
+    if (phase == Phase.LINGERING) {
+      countDiscarded(bytes);
+    } else {
+      pipelined.countDiscarded(bytes);
+      pauseAfterLongOverflow();
+    }
+  }
+
   /**
    * Reads pending input first, unless a read is in progress. Only reading detects that the client
    * has closed the connection, which may have happened long ago if the event loop was delayed or
@@ -213,7 +239,9 @@
   private void read(HttpObject part) {
     try {
       if (phase == Phase.LINGERING) {
-        discard(part);
+        if (part instanceof HttpContent content) {
+          countDiscarded(content.content().readableBytes());
+        }
         return;
       }
       headStartedNanos = 0;
@@ -236,9 +264,9 @@
     }
   }
 
-  private void discard(HttpObject part) {
-    discardedBytes += LingeringClose.bodyBytes(part);
-    if (lingeringClose.mustCloseNow(discardedBytes, part)) {
+  private void countDiscarded(int bytes) {
+    discardedBytes += bytes;
+    if (lingeringClose.mustCloseNow(discardedBytes)) {
       channel.close();
     }
   }
@@ -257,6 +285,7 @@
     listener.becameBusy(this);
     hadRequest = true;
     head = request;
+    headBytes = SizedHttpHeaders.heapBytesOf(request);
     settingsReloads = dispatcher.reloadCount();
     version = request.protocolVersion();
     keepAlive = HttpUtil.isKeepAlive(request);
@@ -373,6 +402,10 @@
       reject(HttpResponseStatus.BAD_REQUEST, error);
       return;
     }
+    if (lacksHeadMemory()) {
+      refuseUnread();
+      return;
+    }
     long prefixReservation = reservedBytes;
     reservedBytes = 0;
     long contentLength = HttpUtil.getContentLength(head, -1L);
@@ -441,10 +474,10 @@
   }
 
   /**
-   * The upstream accepts nothing of the body. Its last byte was never forwarded, so the request is
-   * answered as refused and can safely be retried.
+   * Ends an upload. The last byte of the body was never forwarded, so the request is answered as
+   * refused and can safely be retried.
    */
-  private void abortStalledUpload() {
+  private void refuseUpload() {
     RequestHandle openTicket = ticket;
     lingeringClose = LingeringClose.DURING_UPLOAD;
     reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "refused");
@@ -482,6 +515,10 @@
       reject(HttpResponseStatus.BAD_REQUEST, error);
       return;
     }
+    if (lacksHeadMemory()) {
+      refuseUnread();
+      return;
+    }
     ByteBuf completeBody = body.takeBuffer();
     body = null;
     HttpRequest accepted = head;
@@ -605,7 +642,8 @@
   public void answerEnd() {
     answerSource = null;
     finishAnswer(
-        streamedAnswerKeepAlive, channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+        streamedAnswerKeepAlive && keepAlive,
+        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
   }
 
   @Override
@@ -657,6 +695,7 @@
     answerWrite = written;
     releaseReservation();
     ticket = null;
+    headBytes = 0;
     timerStartNanos = clock.nowNanos();
     if (phase == Phase.STREAMING_BODY) {
       lingerDuringUpload(written);
@@ -664,8 +703,8 @@
     }
     streamedBody = null;
     if (!keep) {
-      phase = Phase.LINGERING;
       pipelined.release();
+      startLingering();
       halfCloseAfter(written);
       return;
     }
@@ -673,16 +712,34 @@
     readsAtIdle = decoder.readCount();
     listener.becameIdle(this);
     replayPipelined();
+    updateHeadMemory();
   }
 
   /** Answered before the body was complete: the rest of the body is read and discarded. */
   private void lingerDuringUpload(ChannelFuture written) {
-    phase = Phase.LINGERING;
+    startLingering();
     lingeringClose = LingeringClose.DURING_UPLOAD;
     streamedBody.release();
     halfCloseAfter(written);
   }
 
+  /** From now on input is discarded; what has been decoded of a further head is dropped. */
+  private void startLingering() {
+    phase = Phase.LINGERING;
+    stopDecoding();
+    updateHeadMemory();
+  }
+
+  private void stopDecoding() {
+    if (decoder != null) {
+      StrictRequestDecoder removed = decoder;
+      decoder = null;
+      if (channel.pipeline().context(removed) != null) {
+        channel.pipeline().remove(removed);
+      }
+    }
+  }
+
   /**
    * Starts the lingering close: shuts down the output and reads further input until the client
    * closes too or a limit of {@link LingeringClose} is reached. All answered connections end this
@@ -725,14 +782,58 @@
     FullHttpResponse response = textResponse(status, reason);
     HttpUtil.setContentLength(response, response.content().readableBytes());
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    phase = Phase.LINGERING;
     timerStartNanos = clock.nowNanos();
     listener.becameBusy(this);
     discardRequest();
     pipelined.release();
+    startLingering();
     halfCloseAfter(channel.writeAndFlush(response));
   }
 
+  // ---- memory of heads ----
+
+  private void updateHeadMemory() {
+    long unfinished = decoder == null ? 0 : decoder.unfinishedHeadBytes();
+    listener.headMemory.update(this, headBytes + pipelined.headBytes() + unfinished);
+  }
+
+  /** Whether the large head of the current request does not fit beside those of open requests. */
+  private boolean lacksHeadMemory() {
+    updateHeadMemory();
+    return headBytes > HeadMemoryBudget.UNCOUNTED_BYTES && listener.headMemory.isExceeded();
+  }
+
+  /** Answers a request of which nothing has been forwarded; a retry is safe. */
+  private void refuseUnread() {
+    reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "refused");
+  }
+
+  @Override
+  public boolean canReleaseHeads() {
+    return switch (phase) {
+      case IDLE, READING_BODY, STREAMING_BODY -> true;
+      case REQUEST_COMPLETE, AWAITING_ANSWER ->
+          decoder != null && pipelined.headBytes() + decoder.unfinishedHeadBytes() > 0;
+      case LINGERING -> false;
+    };
+  }
+
+  @Override
+  public void releaseHeads() {
+    switch (phase) {
+      case IDLE, READING_BODY -> refuseUnread();
+      case STREAMING_BODY -> refuseUpload();
+      default -> dropPipelined();
+    }
+  }
+
+  /** Drops what was received behind the current request, which is the last one to be answered. */
+  private void dropPipelined() {
+    keepAlive = false;
+    pipelined.overflow();
+    stopDecoding();
+  }
+
   // ---- end of input, timeouts and closing ----
 
   @Override
@@ -749,6 +850,7 @@
       headStartedNanos = clock.nowNanos();
       listener.becameBusy(this);
     }
+    updateHeadMemory();
   }
 
   @Override
@@ -758,9 +860,9 @@
 
   /** The only place that reports the disconnect of the client; may be called repeatedly. */
   private void onDisconnected() {
-    phase = Phase.LINGERING;
     discardRequest();
     pipelined.release();
+    startLingering();
     if (lastBodyPiece != null) {
       lastBodyPiece.release();
       lastBodyPiece = null;
@@ -788,6 +890,7 @@
 
   private void discardRequest() {
     head = null;
+    headBytes = 0;
     if (pendingReservation != null) {
       listener.budget.cancelReservation(pendingReservation);
       pendingReservation = null;
@@ -823,7 +926,7 @@
   /** Starts a lingering close between requests. Requests that arrive later are not forwarded. */
   public void closeIdle() {
     if (phase == Phase.IDLE && isBetweenRequests()) {
-      phase = Phase.LINGERING;
+      startLingering();
       timerStartNanos = clock.nowNanos();
       lingeringClose = LingeringClose.BETWEEN_REQUESTS;
       listener.lingerStarted(this);
@@ -875,7 +978,7 @@
         if (!readingPaused && isBodyTooSlow(now)) {
           channel.close(); // Without its last byte the request never runs.
         } else if (readingPaused && now - lastPieceNanos > UPSTREAM_STALL_TIMEOUT_NANOS) {
-          abortStalledUpload();
+          refuseUpload();
         }
       }
       case AWAITING_ANSWER -> {
--- a/src/main/java/heathswitch/proxy/http1/ClientListener.java
+++ b/src/main/java/heathswitch/proxy/http1/ClientListener.java
@@ -36,6 +36,7 @@
   private final EventLoop loop;
   private final Clock clock;
   final ResourceBudget budget;
+  final HeadMemoryBudget headMemory = new HeadMemoryBudget();
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
 
   /** Longest idle first. */
--- a/src/main/java/heathswitch/proxy/http1/LingeringClose.java
+++ b/src/main/java/heathswitch/proxy/http1/LingeringClose.java
@@ -1,8 +1,5 @@
 package heathswitch.proxy.http1;
 
-import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpObject;
-
 /**
  * Limits of a lingering close. After the last answer on a connection, further input is read and
  * discarded for a limited time and up to a limited number of bytes. Closing a socket with unread
@@ -27,13 +24,8 @@
     this.maxBytes = maxBytes;
   }
 
-  /** Whether the byte limit is exceeded or the part cannot be decoded. */
-  boolean mustCloseNow(long discardedBytes, HttpObject part) {
-    return discardedBytes > maxBytes || part.decoderResult().isFailure();
-  }
-
-  /** The number of body bytes in a decoded part. */
-  static long bodyBytes(HttpObject part) {
-    return part instanceof HttpContent content ? content.content().readableBytes() : 0;
+  /** Whether the byte limit is exceeded. */
+  boolean mustCloseNow(long discardedBytes) {
+    return discardedBytes > maxBytes;
   }
 }
--- a/src/main/java/heathswitch/proxy/http1/PipelineQueue.java
+++ b/src/main/java/heathswitch/proxy/http1/PipelineQueue.java
@@ -27,6 +27,9 @@
   private boolean overflowed;
   private long overflowBytes;
 
+  /** The estimated heap of the heads in the queue. */
+  private long headBytes;
+
   boolean isEmpty() {
     return parts.isEmpty();
   }
@@ -49,12 +52,28 @@
       return;
     }
     parts.add(part);
+    headBytes += SizedHttpHeaders.heapBytesOf(part);
     if (parts.size() > MAX_PARTS) {
-      overflowed = true;
-      release();
+      overflow();
     }
   }
 
+  /** Drops all queued parts; later ones are discarded. */
+  void overflow() {
+    overflowed = true;
+    release();
+  }
+
+  /** Counts input that arrived after an overflow and is discarded undecoded. */
+  void countDiscarded(int bytes) {
+    overflowBytes += bytes;
+  }
+
+  /** The estimated heap of the heads in the queue. */
+  long headBytes() {
+    return headBytes;
+  }
+
   private void countOverflow(HttpObject part) {
     if (part instanceof HttpContent content) {
       overflowBytes += content.content().readableBytes();
@@ -64,7 +83,11 @@
 
   /** Removes the oldest part and passes its ownership to the caller; null if the queue is empty. */
   HttpObject poll() {
-    return parts.poll();
+    HttpObject part = parts.poll();
+    if (part != null) {
+      headBytes -= SizedHttpHeaders.heapBytesOf(part);
+    }
+    return part;
   }
 
   /** Releases all queued parts. */
@@ -72,5 +95,6 @@
     while (!parts.isEmpty()) {
       ReferenceCountUtil.release(parts.poll());
     }
+    headBytes = 0;
   }
 }
--- a/src/main/java/heathswitch/proxy/http1/StrictRequestDecoder.java
+++ b/src/main/java/heathswitch/proxy/http1/StrictRequestDecoder.java
@@ -1,9 +1,11 @@
 package heathswitch.proxy.http1;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import java.util.List;
 
 /**
  * Netty's request decoder, but rejecting requests that have both Content-Length and chunked
@@ -17,14 +19,36 @@
   private static final int MAX_HEAD_BYTES = 16 << 10;
   private static final int MAX_CHUNK_BYTES = 16 << 10;
 
+  private final SizedHeadersFactory headers;
   private int readCount;
 
   public StrictRequestDecoder() {
+    this(new SizedHeadersFactory());
+  }
+
+  private StrictRequestDecoder(SizedHeadersFactory headers) {
     super(
         new HttpDecoderConfig()
+            .setHeadersFactory(headers)
+            .setTrailersFactory(headers)
             .setMaxInitialLineLength(MAX_LINE_BYTES)
             .setMaxHeaderSize(MAX_HEAD_BYTES)
             .setMaxChunkSize(MAX_CHUNK_BYTES));
+    this.headers = headers;
+  }
+
+  @Override
+  protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+    int decoded = out.size();
+    super.decode(ctx, in, out);
+    if (out.size() > decoded) {
+      headers.finished();
+    }
+  }
+
+  /** The estimated heap of an incomplete head or trailer. */
+  long unfinishedHeadBytes() {
+    return headers.unfinishedBytes();
   }
 
   @Override
--- a/src/main/java/heathswitch/proxy/http1/UpstreamConnection.java
+++ b/src/main/java/heathswitch/proxy/http1/UpstreamConnection.java
@@ -34,7 +34,7 @@
  * counts as complete only if all of it was received.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter
-    implements Attempt.Exchange, StreamedAnswerSource {
+    implements Attempt.Exchange, StreamedAnswerSource, HeadMemoryBudget.Holder {
   /**
    * A longer answer is treated as invalid, or aborted if it was already being streamed without a
    * declared length. Upstreams send up to 32 MB.
@@ -281,6 +281,7 @@
     streamedBytes = buffered.readableBytes();
     sink = payload.sink();
     sink.answerStarted(head, this);
+    head = null;
     if (buffered.isReadable()) {
       sink.answerData(buffered);
     } else {
@@ -511,13 +512,31 @@
       checkUnparsedBytes();
       ByteBuf body = buffered;
       buffered = null;
+      HttpResponse answerHead = head;
       Attempt served = attempt;
       attempt = null;
       finishExchange();
       if (served != null) {
-        served.complete(Outcome.OK, new HttpAnswer(head, body));
+        served.complete(Outcome.OK, new HttpAnswer(answerHead, body));
       }
+      return;
     }
+    updateHeadMemory();
+  }
+
+  private void updateHeadMemory() {
+    long answered = head == null ? 0 : SizedHttpHeaders.heapBytesOf(head);
+    pool.headMemory.update(this, answered + decoder.unfinishedHeadBytes());
+  }
+
+  @Override
+  public boolean canReleaseHeads() {
+    return !closed && phase != Phase.COMPLETE && phase != Phase.STREAMED;
+  }
+
+  @Override
+  public void releaseHeads() {
+    failInvalidAnswer("large head while memory for heads is exhausted");
   }
 
   private void checkUnparsedBytes() {
@@ -573,6 +592,8 @@
   /** Returns the connection to the pool, unless one of the sides wants it closed. */
   private void finishExchange() {
     cancelStallTimer();
+    head = null;
+    pool.headMemory.update(this, 0);
     readsAtStart = decoder.readCount();
     if (reusable && channel.isActive()) {
       phase = Phase.IDLE;
@@ -656,6 +677,7 @@
       openSink.answerAborted();
     }
     pool.remove(this);
+    pool.headMemory.update(this, 0);
     if (buffered != null) {
       buffered.release();
       buffered = null;
--- a/src/main/java/heathswitch/proxy/http1/UpstreamConnectionPool.java
+++ b/src/main/java/heathswitch/proxy/http1/UpstreamConnectionPool.java
@@ -61,6 +61,7 @@
 
   private final Clock clock;
   final ResourceBudget budget;
+  final HeadMemoryBudget headMemory = new HeadMemoryBudget();
   private long keepAliveNanos;
   private final BooleanSupplier evictClient;
   private final Bootstrap bootstrap;
--- a/src/main/java/heathswitch/testbed/platform/PlatformBalancer.java
+++ b/src/main/java/heathswitch/testbed/platform/PlatformBalancer.java
@@ -22,7 +22,8 @@
  */
 public final class PlatformBalancer implements AutoCloseable {
   private static final List<String> JVM_FLAGS =
-      List.of("-XX:+UseSerialGC", "-Xmx64m", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData");
+      List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData");
+  private static final int DEFAULT_HEAP_MEGABYTES = 64;
   private static final long PROCESS_TIMEOUT_MILLIS = 30_000;
   private static final int PROBE_TIMEOUT_MILLIS = 1000;
 
@@ -35,6 +36,7 @@
   private final InetSocketAddress listen = BalancerProcess.freeAddress();
   private final Map<String, String> environment = new HashMap<>();
   private Map<String, Object> config = Map.of();
+  private int heapMegabytes = DEFAULT_HEAP_MEGABYTES;
   private Process process;
   private int starts;
 
@@ -56,6 +58,11 @@
     environment.putAll(variables);
   }
 
+  /** Sets the maximum heap of the next processes. */
+  public void heapMegabytes(int megabytes) {
+    heapMegabytes = megabytes;
+  }
+
   /** Writes the configuration that the next start or SIGHUP reads. */
   void configure(Map<String, Object> next) throws IOException {
     config = next;
@@ -83,6 +90,7 @@
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.addAll(JVM_FLAGS);
+    command.add("-Xmx" + heapMegabytes + "m");
     command.addAll(List.of("-cp", CLASS_PATH, "heathswitch.proxy.Main", "serve"));
     ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
     builder.environment().put("EDGE_CONFIG", configFile().toString());
--- a/src/main/java/heathswitch/testbed/platform/PlatformFleet.java
+++ b/src/main/java/heathswitch/testbed/platform/PlatformFleet.java
@@ -58,6 +58,13 @@
     return id;
   }
 
+  /** Adds a server that the caller runs at this address to discovery's list; returns its id. */
+  public String addServerAt(InetSocketAddress address) {
+    String id = "s-" + ++serverCount;
+    discovery.publish(new ListedMember(id, address, ListedMember.Phase.IN_SERVICE, 0));
+    return id;
+  }
+
   /** Marks a server as draining in discovery; the server continues to serve. */
   public void drain(String id) {
     discovery.publish(discovery.member(id).withPhase(ListedMember.Phase.TERMINATING));
