Look up the Connection header once for all headers of a message

Cause: copyEndToEndHeaders looked the Connection header up once for each header, and each look-up walks all headers of one hash bucket; stacks of the loop showed it in five of five looks.

Change: the names that Connection lists are read once for each message.

--- a/src/main/java/heathswitch/proxy/http1/HeaderRules.java
+++ b/src/main/java/heathswitch/proxy/http1/HeaderRules.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -88,16 +89,27 @@
 
   /** Copies the end-to-end headers and omits the hop-by-hop headers. */
   public static void copyEndToEndHeaders(HttpHeaders from, HttpHeaders to) {
+    Set<String> connectionOptions = connectionOptions(from);
     for (Map.Entry<String, String> header : from) {
       String name = header.getKey().toLowerCase(Locale.ROOT);
       if (!HOP_BY_HOP.contains(name)
-          && (PROTOCOL_HEADERS.contains(name)
-              || !from.containsValue(HttpHeaderNames.CONNECTION, name, true))) {
+          && (PROTOCOL_HEADERS.contains(name) || !connectionOptions.contains(name))) {
         to.add(header.getKey(), header.getValue());
       }
     }
   }
 
+  /** The names that the Connection headers list, in lower case. */
+  private static Set<String> connectionOptions(HttpHeaders headers) {
+    Set<String> options = new HashSet<>();
+    for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
+      for (String option : value.split(",")) {
+        options.add(option.trim().toLowerCase(Locale.ROOT));
+      }
+    }
+    return options;
+  }
+
   /** Parses a decimal number of seconds into nanoseconds; -1 if the text is not such a number. */
   public static long parseSeconds(String text) {
     boolean digits = false;
