Let every upstream connection wait 20 ms before it carries another request

Cause: nothing in HTTP/1.1 tells whose an answer is. A copy that comes when the next request has been written is taken for its answer, and the connection stays one answer behind. The delay of 20 ms against it was on only in the minute after a process had seen surplus bytes, so never for the first copy.

Change: the delay always applies, after answers of any status; a connection that has carried nothing yet has none. The log tells surplus bytes behind an answer, and how long after its last answer an idle connection got some.

LifecycleRaceTest.firstLateDuplicateAnswerIsNotServedToNextRequest and lateDuplicateErrorIsNotTakenForNextAnswer fail on the code before.

--- a/src/main/java/heathswitch/proxy/http1/UpstreamConnection.java
+++ b/src/main/java/heathswitch/proxy/http1/UpstreamConnection.java
@@ -106,6 +106,7 @@
   private HttpResponse head;
   private CompositeByteBuf buffered;
   private int discardedBytes;
+  private boolean hadExchange;
   private long idleSinceNanos;
   private int readsAtStart;
   private int readsAtInterim;
@@ -184,6 +185,7 @@
   }
 
   private void writeRequest() {
+    hadExchange = true;
     reusable = false;
     readsAtStart = decoder.readCount();
     sawInterimAnswer = false;
@@ -342,9 +344,7 @@
       } else if (part.decoderResult().isFailure()) {
         failInvalidAnswer("malformed: " + part.decoderResult().cause());
       } else if (phase == Phase.IDLE) {
-        Log.warn("unasked bytes", upstream.name + ": connection closed", "server", upstream.name);
-        onExcessBytes();
-        close();
+        closeAfterUnaskedBytes();
       } else {
         if (part instanceof HttpResponse response) {
           onHead(response);
@@ -491,8 +491,7 @@
     }
     boolean bytesRead = decoder.readCount() != readsAtStart;
     if (phase == Phase.IDLE && bytesRead) {
-      onExcessBytes();
-      close(); // Unsolicited bytes, even if they do not form a message yet.
+      closeAfterUnaskedBytes(); // Even if the bytes do not form a message yet.
     } else if (phase == Phase.AWAITING_HEAD && awaitsFinalAnswer()) {
       cancelStallTimer(); // The interim answers are complete; the final one may take longer.
     } else if (bytesRead && attempt != null && phase != Phase.COMPLETE && stallTimer == null) {
@@ -545,10 +544,28 @@
     }
   }
 
-  /** The upstream has sent more than belongs to the answer. */
+  /** The upstream has sent more than belongs to the answer, in the same read. */
   private void onExcessBytes() {
-    reusable = false;
-    pool.recordExcessBytes();
+    if (reusable) {
+      reusable = false;
+      Log.info(
+          "excess bytes",
+          upstream.name + ": behind an answer, connection closed",
+          "server",
+          upstream.name);
+    }
+  }
+
+  private void closeAfterUnaskedBytes() {
+    long idleMillis = (clock.nowNanos() - idleSinceNanos) / 1_000_000;
+    Log.warn(
+        "unasked bytes",
+        upstream.name + ": connection closed, " + idleMillis + " ms after its last answer",
+        "server",
+        upstream.name,
+        "idle_ms",
+        Long.toString(idleMillis));
+    close();
   }
 
   private void watchForStall() {
@@ -703,4 +720,9 @@
   public long idleSinceNanos() {
     return idleSinceNanos;
   }
+
+  /** Whether the connection has ever carried a request. */
+  boolean hadExchange() {
+    return hadExchange;
+  }
 }
--- a/src/main/java/heathswitch/proxy/http1/UpstreamConnectionPool.java
+++ b/src/main/java/heathswitch/proxy/http1/UpstreamConnectionPool.java
@@ -40,15 +40,12 @@
   static final long SILENCE_LIMIT_NANOS = 1_000_000_000L;
 
   /**
-   * Delay before a connection is reused, applied only for a while after an upstream has sent excess
-   * bytes. Such bytes may arrive shortly after the answer that they follow and would be taken for
-   * the answer to the next request on the connection.
+   * Delay before a connection carries its next request. An upstream may send a second copy of an
+   * answer some milliseconds late. Nothing distinguishes the copy from the answer to a request that
+   * is out by then, and from there on every answer would go to the request after its own.
    */
   static final long REUSE_DELAY_NANOS = 20_000_000L;
 
-  /** How long reuse is delayed after excess bytes were seen. */
-  private static final long REUSE_DELAY_PERIOD_NANOS = 60_000_000_000L;
-
   private static final int DEFAULT_DIAL_TIMEOUT_MILLIS = 1000;
 
   /**
@@ -70,8 +67,6 @@
   /** Still dialing after their attempt has ended, oldest first. */
   private final Set<UpstreamConnection> unclaimedDials = new LinkedHashSet<>();
 
-  private long excessBytesSeenNanos = Long.MIN_VALUE / 2;
-
   /** Idle connections to all upstreams, longest idle first. */
   private final Set<UpstreamConnection> idle = new LinkedHashSet<>();
 
@@ -189,29 +184,25 @@
     return connections == null ? null : connections.peekLast();
   }
 
-  /** The newest idle connection on which no excess bytes are expected, or null. */
+  /**
+   * The newest idle connection on which no more bytes of an earlier answer are expected, or null.
+   */
   private UpstreamConnection newestReusable(Upstream upstream) {
     ArrayDeque<UpstreamConnection> connections = idleByUpstream.get(upstream);
     if (connections == null) {
       return null;
     }
     long now = clock.nowNanos();
-    boolean delayReuse = now - excessBytesSeenNanos < REUSE_DELAY_PERIOD_NANOS;
     Iterator<UpstreamConnection> newestFirst = connections.descendingIterator();
     while (newestFirst.hasNext()) {
       UpstreamConnection candidate = newestFirst.next();
-      if (!delayReuse || now - candidate.idleSinceNanos() >= REUSE_DELAY_NANOS) {
+      if (!candidate.hadExchange() || now - candidate.idleSinceNanos() >= REUSE_DELAY_NANOS) {
         return candidate;
       }
     }
     return null;
   }
 
-  /** An upstream has sent more than belongs to an answer. */
-  void recordExcessBytes() {
-    excessBytesSeenNanos = clock.nowNanos();
-  }
-
   /** Takes back a connection that can carry another exchange. */
   public void release(UpstreamConnection connection) {
     unclaimedDials.remove(connection);
--- a/src/test/java/heathswitch/proxy/platform/LifecycleRaceTest.java
+++ b/src/test/java/heathswitch/proxy/platform/LifecycleRaceTest.java
@@ -239,4 +239,48 @@
       assertEquals("three", second.read().text());
     }
   }
+
+  /** Guards against answers that go to the request after their own, from a first late copy on. */
+  @Test
+  void firstLateDuplicateAnswerIsNotServedToNextRequest() throws Exception {
+    try (StubServer upstream = calls.startUpstream();
+        BalancerFixture fixture = new BalancerFixture().upstream(upstream).start();
+        TestClient first = fixture.client();
+        TestClient second = fixture.client()) {
+      first.send(TestClient.get("/api/x", ""));
+      StubServer.Connection duplicated = calls.next();
+      try (EventLoopBlocker blocker = fixture.blockLoop()) {
+        duplicated.answer(200, "", "one");
+        second.send(TestClient.get("/api/x", "").replace("r1", "r2"));
+      }
+      assertEquals("one", first.read().text());
+      StubServer.Connection next = calls.next();
+      duplicated.answer(200, "", "one");
+      next.answer(200, "", "two");
+      assertEquals("two", second.read().text());
+    }
+  }
+
+  /** Guards against a late copy of an error that passes for the answer to the next request. */
+  @Test
+  void lateDuplicateErrorIsNotTakenForNextAnswer() throws Exception {
+    try (StubServer upstream = calls.startUpstream();
+        BalancerFixture fixture = new BalancerFixture().upstream(upstream).start();
+        TestClient first = fixture.client();
+        TestClient second = fixture.client()) {
+      first.send(TestClient.post("publish", "", "one"));
+      StubServer.Connection failed = calls.next();
+      try (EventLoopBlocker blocker = fixture.blockLoop()) {
+        failed.answer(500, "", "");
+        second.send(TestClient.get("/api/x", "").replace("r1", "r2"));
+      }
+      assertEquals(502, first.read().status());
+      StubServer.Connection next = calls.next();
+      failed.answer(500, "", "");
+      Thread.sleep(20);
+      next.answer(200, "", "two");
+      assertEquals("two", second.read().text());
+      assertTrue(calls.isEmpty(), "the request ran a second time");
+    }
+  }
 }
