Let no request wait for memory: bodies reserve what has come, or are streamed

Cause: a body of 64 KiB to 1 MiB reserved all that it declared before it was read, of 8 MiB for all, and the next waited in a queue, unread and without limit. Its time counted from when it was read.

Change: a body reserves 64 KiB at a time of what has been received. One that finds nothing left is streamed, as bodies of over 1 MiB are. The queue is gone. A streamed body is given up when its client's time is over, if that is before the 3 s; the time told and waited for counts from the pause. Bodies of health checks are not buffered.

Why it works: nothing waits for what another client may never send.

--- a/src/main/java/heathswitch/proxy/http1/ClientConnection.java
+++ b/src/main/java/heathswitch/proxy/http1/ClientConnection.java
@@ -63,6 +63,9 @@
    */
   static final int UNRESERVED_BODY_BYTES = 64 << 10;
 
+  /** Longer bodies reserve this much at a time as they are received. */
+  private static final int RESERVATION_STEP_BYTES = 64 << 10;
+
   /**
    * Time limit for receiving the head of a request, counted from its first byte or, for the first
    * request, from the start of the connection. Frees the descriptors of clients that connect and
@@ -81,6 +84,9 @@
   /** How long an upstream may accept nothing of a streamed body. */
   static final long UPSTREAM_STALL_TIMEOUT_NANOS = 3_000_000_000L;
 
+  /** Time for reading what arrived while reading was paused. */
+  private static final long BACKLOG_READ_NANOS = 100_000_000L;
+
   /** Added to the timeout of a request whose body is streamed, for receiving the body. */
   private static final long MAX_UPLOAD_NANOS = 600_000_000_000L;
 
@@ -133,7 +139,6 @@
   private RequestBodyBuffer body;
   private long bodyBytes;
   private long reservedBytes;
-  private Object pendingReservation;
   private RequestHandle ticket;
   private boolean replayingPipeline;
 
@@ -153,6 +158,11 @@
   private StreamedRequestBody streamedBody;
   private boolean readingPaused;
 
+  /** When reading was paused for the last time, and when it was resumed after that. */
+  private long pausedNanos;
+
+  private long resumedNanos;
+
   /** The source of the answer while an answer is being streamed, otherwise null. */
   private StreamedAnswerSource answerSource;
 
@@ -307,11 +317,7 @@
       return;
     }
     body = new RequestBodyBuffer(channel.alloc(), HttpUtil.getContentLength(request, -1L));
-    if (contentLength > UNRESERVED_BODY_BYTES && contentLength <= MAX_BUFFERED_BODY_BYTES) {
-      reserveBuffer(contentLength);
-    } else {
-      sendContinueIfExpected();
-    }
+    sendContinueIfExpected();
   }
 
   /** Validates a head and stores its class and timeout; returns the error or null. */
@@ -336,25 +342,21 @@
     return idInUse ? RequestHead.duplicateIdError() : null;
   }
 
-  private void reserveBuffer(long bytes) {
-    long additional = bytes - reservedBytes;
-    pendingReservation =
-        listener.budget.reserve(
-            additional,
-            () -> {
-              pendingReservation = null;
-              reservedBytes += additional;
-              timerStartNanos = clock.nowNanos() - slowestTransferNanos(bodyBytes);
-              lastPieceNanos = clock.nowNanos();
-              sendContinueIfExpected();
-              channel.config().setAutoRead(true);
-            });
-    if (pendingReservation == null) {
-      reservedBytes += additional;
-      sendContinueIfExpected();
-    } else {
-      channel.config().setAutoRead(false);
+  /**
+   * Reserves memory for what has been received of the body; false if there is none left. A body
+   * reserves only what it holds, so that slow clients do not take the memory of others.
+   */
+  private boolean reserveReceivedBytes() {
+    if (bodyBytes <= UNRESERVED_BODY_BYTES) {
+      return true;
     }
+    while (reservedBytes < bodyBytes) {
+      if (!listener.budget.tryReserve(RESERVATION_STEP_BYTES)) {
+        return false;
+      }
+      reservedBytes += RESERVATION_STEP_BYTES;
+    }
+    return true;
   }
 
   private void sendContinueIfExpected() {
@@ -374,21 +376,22 @@
       return;
     }
     lastPieceNanos = clock.nowNanos();
+    boolean last = content instanceof LastHttpContent;
+    if (requestClass == null) {
+      if (last) { // A health check, whose body is not used.
+        onBodyComplete();
+      }
+      return;
+    }
     body.append(piece);
-    if (content instanceof LastHttpContent) {
+    if (last) {
       onBodyComplete();
-    } else if (requestClass != null && pendingReservation == null && shouldStreamBody()) {
+    } else if (shouldStreamBody() || !reserveReceivedBytes()) {
       startStreaming();
-    } else if (bodyBytes > UNRESERVED_BODY_BYTES
-        && reservedBytes == 0
-        && pendingReservation == null) {
-      // The length of a chunked body is unknown. Reserving the maximum at once avoids a deadlock
-      // between two bodies that wait for more.
-      reserveBuffer(MAX_BUFFERED_BODY_BYTES);
     }
   }
 
-  /** Whether an incomplete body is too long to be buffered and can be streamed now. */
+  /** Whether an incomplete body is too long to be buffered, and enough of it has been received. */
   private boolean shouldStreamBody() {
     return HttpUtil.getContentLength(head, -1L) > MAX_BUFFERED_BODY_BYTES
         ? bodyBytes >= STREAMING_PREFIX_BYTES
@@ -408,15 +411,11 @@
     }
     long prefixReservation = reservedBytes;
     reservedBytes = 0;
+    pausedNanos = 0;
     long contentLength = HttpUtil.getContentLength(head, -1L);
     streamedBody =
         new StreamedRequestBody(
-            this,
-            listener.budget,
-            contentLength,
-            clientTimeoutNanos,
-            body.takeBuffer(),
-            prefixReservation);
+            this, listener.budget, contentLength, body.takeBuffer(), prefixReservation);
     body = null;
     HttpRequest accepted = head;
     head = null;
@@ -443,7 +442,7 @@
     phase = Phase.AWAITING_ANSWER;
     timerStartNanos = lastPieceNanos;
     if (ticket != null) {
-      ticket.bodyComplete(clientTimeoutNanos);
+      ticket.bodyComplete(remainingClientNanos());
     }
     lastBodyPiece = content.content().retain();
   }
@@ -468,6 +467,11 @@
     if (readingPaused != paused) {
       readingPaused = paused;
       lastPieceNanos = clock.nowNanos();
+      if (paused) {
+        pausedNanos = lastPieceNanos;
+      } else {
+        resumedNanos = lastPieceNanos;
+      }
       timerStartNanos = lastPieceNanos - slowestTransferNanos(bodyBytes);
       channel.config().setAutoRead(!paused);
     }
@@ -487,17 +491,30 @@
     }
   }
 
+  /**
+   * How long the client still waits if it has sent everything. While reading is paused, and as the
+   * bytes that arrived meanwhile are read, the last byte may have been sent before the pause.
+   */
+  long remainingClientNanos() {
+    long now = clock.nowNanos();
+    boolean mayHaveWaited =
+        streamedBody != null
+            && (readingPaused || pausedNanos > 0 && now - resumedNanos < BACKLOG_READ_NANOS);
+    return Math.max(0, clientTimeoutNanos - (mayHaveWaited ? now - pausedNanos : 0));
+  }
+
+  /** How long reading may be paused; the time of a client that has sent everything runs on. */
+  private long maxPauseNanos() {
+    return Math.min(UPSTREAM_STALL_TIMEOUT_NANOS, clientTimeoutNanos);
+  }
+
   /** The time that the slowest permitted client needs to send this many bytes. */
   private static long slowestTransferNanos(long bytes) {
     return bytes * 1_000_000_000L / MIN_BYTES_PER_SECOND;
   }
 
   private void onBodyComplete() {
-    if (pendingReservation != null) {
-      listener.budget.cancelReservation(pendingReservation);
-      pendingReservation = null;
-      channel.config().setAutoRead(true);
-    } else if (reservedBytes > bodyBytes) {
+    if (reservedBytes > bodyBytes) {
       listener.budget.release(reservedBytes - bodyBytes);
       reservedBytes = bodyBytes;
     }
@@ -772,7 +789,7 @@
       }
     }
     replayingPipeline = false;
-    if (pipelined.isEmpty() && pendingReservation == null) {
+    if (pipelined.isEmpty()) {
       channel.config().setAutoRead(true);
     }
   }
@@ -891,10 +908,6 @@
   private void discardRequest() {
     head = null;
     headBytes = 0;
-    if (pendingReservation != null) {
-      listener.budget.cancelReservation(pendingReservation);
-      pendingReservation = null;
-    }
     if (body != null) {
       body.release();
       body = null;
@@ -970,14 +983,14 @@
         }
       }
       case READING_BODY -> {
-        if (pendingReservation == null && isBodyTooSlow(now)) {
+        if (isBodyTooSlow(now)) {
           reject(HttpResponseStatus.REQUEST_TIMEOUT, "body too slow");
         }
       }
       case STREAMING_BODY -> {
         if (!readingPaused && isBodyTooSlow(now)) {
           channel.close(); // Without its last byte the request never runs.
-        } else if (readingPaused && now - lastPieceNanos > UPSTREAM_STALL_TIMEOUT_NANOS) {
+        } else if (readingPaused && now - pausedNanos > maxPauseNanos()) {
           refuseUpload();
         }
       }
--- a/src/main/java/heathswitch/proxy/http1/StreamedRequestBody.java
+++ b/src/main/java/heathswitch/proxy/http1/StreamedRequestBody.java
@@ -15,7 +15,6 @@
   private final ClientConnection client;
   private final ResourceBudget budget;
   private final long length;
-  private final long clientWaitNanos;
   private final ArrayDeque<ByteBuf> pending = new ArrayDeque<>();
 
   /** Received before the request was accepted; null once more than the prefix has been sent. */
@@ -31,26 +30,23 @@
    * Takes ownership of the prefix and of its reservation in the budget.
    *
    * @param length length of the whole body, or -1 if the client did not declare it
-   * @param clientWaitNanos how long the client waits after it has sent the whole body
    */
   StreamedRequestBody(
       ClientConnection client,
       ResourceBudget budget,
       long length,
-      long clientWaitNanos,
       ByteBuf prefix,
       long prefixReservation) {
     this.client = client;
     this.budget = budget;
     this.length = length;
-    this.clientWaitNanos = clientWaitNanos;
     this.prefix = prefix;
     this.prefixReservation = prefixReservation;
   }
 
   /** Upper bound of the time announced to an upstream; sending the body may take far longer. */
   long clientWaitNanos() {
-    return clientWaitNanos;
+    return client.remainingClientNanos();
   }
 
   long length() {
--- a/src/main/java/heathswitch/proxy/runtime/ResourceBudget.java
+++ b/src/main/java/heathswitch/proxy/runtime/ResourceBudget.java
@@ -1,27 +1,17 @@
 package heathswitch.proxy.runtime;
 
-import java.util.ArrayDeque;
-
-/**
- * Limits descriptors and the bytes of buffered request bodies.
- *
- * <p>A body reserves all the bytes it may need before it is read, or waits in a queue without
- * holding any. Thus two partly read bodies can never wait for each other.
- */
+/** Limits descriptors and the bytes of buffered request bodies. Nothing waits for either. */
 public final class ResourceBudget {
   /** Descriptors reserved for the JVM's own files, the listener, discovery and the log. */
   public static final int RESERVED_DESCRIPTORS = 48;
 
-  /** Limit of buffered body bytes; one body of the maximum size always fits. */
+  /** Limit of buffered body bytes. */
   public static final long BODY_BYTES = 8L << 20;
 
-  private record Waiter(long bytes, Runnable granted) {}
-
   private final int descriptors;
   private int maxConnections;
   private int connections;
   private long freeBytes;
-  private final ArrayDeque<Waiter> waiters = new ArrayDeque<>();
 
   public ResourceBudget(int descriptors, long bodyBytes) {
     this.descriptors = descriptors;
@@ -63,38 +53,17 @@
     return freeBytes;
   }
 
-  /**
-   * Reserves bytes and returns null, or queues the reservation and calls back once it is granted.
-   *
-   * @return null, or a token to pass to {@link #cancelReservation}
-   */
-  public Object reserve(long bytes, Runnable granted) {
-    if (waiters.isEmpty() && bytes <= freeBytes) {
-      freeBytes -= bytes;
-      return null;
+  /** Reserves bytes for the body of a request; false if there are not enough left. */
+  public boolean tryReserve(long bytes) {
+    if (bytes > freeBytes) {
+      return false;
     }
-    Waiter waiter = new Waiter(bytes, granted);
-    waiters.add(waiter);
-    return waiter;
-  }
-
-  /** Cancels a queued reservation. */
-  public void cancelReservation(Object waiter) {
-    waiters.remove(waiter);
-    grantWaiters();
+    freeBytes -= bytes;
+    return true;
   }
 
   /** Returns reserved bytes. */
   public void release(long bytes) {
     freeBytes += bytes;
-    grantWaiters();
-  }
-
-  private void grantWaiters() {
-    while (!waiters.isEmpty() && waiters.peek().bytes() <= freeBytes) {
-      Waiter waiter = waiters.poll();
-      freeBytes -= waiter.bytes();
-      waiter.granted().run();
-    }
   }
 }
--- a/src/test/java/heathswitch/proxy/platform/BalancerFixture.java
+++ b/src/test/java/heathswitch/proxy/platform/BalancerFixture.java
@@ -256,6 +256,13 @@
     return new EventLoopBlocker(node.loop());
   }
 
+  /** Waits until the event loop has handled the input that had arrived before the call. */
+  void awaitTurnsOfLoop() {
+    for (int turns = 0; turns < 3; turns++) {
+      node.loop().submit(() -> {}).syncUninterruptibly();
+    }
+  }
+
   /** Waits until this many requests are open. */
   void awaitLiveRequests(int requests) throws InterruptedException {
     Await.until(
--- a/src/test/java/heathswitch/proxy/platform/LargeMessageTest.java
+++ b/src/test/java/heathswitch/proxy/platform/LargeMessageTest.java
@@ -8,6 +8,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
@@ -15,6 +17,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Messages that are larger than what the balancer buffers, with slow or failing upstreams and
@@ -399,4 +402,81 @@
           });
     }
   }
+
+  /**
+   * Guards against requests that were received but stay unread, behind bodies of slow clients that
+   * hold all memory for bodies: by what they declare, or by what they have sent.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {100_000, 800_000})
+  void largeBodyIsServedBesideUnfinishedOnes(int receivedBytes) throws Exception {
+    int slowClients = 12;
+    byte[] slowBody = body(900_000);
+    byte[] quickBody = body(96 << 10);
+    List<TestClient> slow = new ArrayList<>();
+    try (StubServer upstream =
+            StubServer.replying(
+                (connection, request) -> connection.answer(200, "", "" + request.body().length));
+        BalancerFixture fixture = new BalancerFixture().upstream(upstream).start();
+        TestClient quick = fixture.client()) {
+      for (int i = 0; i < slowClients; i++) {
+        TestClient client = fixture.client();
+        slow.add(client);
+        client.send(postHead("Content-Length: " + slowBody.length).replace(": r1", ": slow" + i));
+        client.out.write(slowBody, 0, receivedBytes);
+        client.out.flush();
+      }
+      fixture.awaitTurnsOfLoop();
+      long sentNanos = System.nanoTime();
+      quick.send(postHead("Content-Length: " + quickBody.length));
+      quick.out.write(quickBody);
+      quick.out.flush();
+      assertEquals("" + quickBody.length, quick.read().text());
+      long tookMillis = (System.nanoTime() - sentNanos) / 1_000_000;
+      assertTrue(tookMillis < 1000, "waited for others: " + tookMillis + " ms");
+      for (TestClient client : slow) {
+        client.out.write(slowBody, receivedBytes, slowBody.length - receivedBytes);
+        client.out.flush();
+      }
+      for (TestClient client : slow) {
+        assertEquals("" + slowBody.length, client.read().text());
+      }
+    } finally {
+      for (TestClient client : slow) {
+        client.close();
+      }
+    }
+  }
+
+  /** Guards against an upload that is given up later than its client waits. */
+  @Test
+  void stalledUploadIsRefusedWhenTheClientsTimeIsOver() throws Exception {
+    byte[] body = body(30 << 20);
+    CountDownLatch end = new CountDownLatch(1);
+    try (StubServer upstream =
+            new StubServer(
+                connection -> {
+                  RawHttp.readHead(connection.in());
+                  end.await();
+                });
+        BalancerFixture fixture = new BalancerFixture().upstream(upstream).start();
+        TestClient client = fixture.client()) {
+      client.send(postHead("Content-Length: " + body.length).replace("Deadline: 9", "Deadline: 1"));
+      Thread sender =
+          new Thread(
+              () -> {
+                try {
+                  client.out.write(body);
+                } catch (IOException e) {
+                  // The connection is closed before the whole body is read.
+                }
+              });
+      long sentNanos = System.nanoTime();
+      sender.start();
+      assertEquals(503, client.read().status());
+      long tookMillis = (System.nanoTime() - sentNanos) / 1_000_000;
+      assertTrue(tookMillis < 2500, "refused after " + tookMillis + " ms");
+      end.countDown();
+    }
+  }
 }
