Do not cut off an answer because it pauses: wait, hedge, or stream it

Callers saw 502 or 503 for requests whose server was still writing a long answer. A pause does not tell a slow server from a lost answer. Now the pause is an event of the decision module (onAnswerStalled): it counts as an error of the server and frees its slot, as before, but the attempt goes on. Another one is sent beside it where class and limits allow a second copy; where they allow no copies, only answers known to be short are replaced. A long answer that is incomplete 0.2 s before the request's time (0.1 s if paused) is streamed, so that the rest may follow. A streamed answer may pause for 15 s (6 s before). Class: a silence taken for a fact. The log tells each pause with the request's id and attempts; lines on spoilt answers name the request; the line of figures counts stalled answers.

--- a/src/main/java/heathswitch/policy/core/Balancer.java
+++ b/src/main/java/heathswitch/policy/core/Balancer.java
@@ -189,8 +189,44 @@
       attempt.request.finished = true;
       entryWindow.onEnd(nowNanos, attempt.request, true);
       attempt.server.onAnswerBegun(attempt);
-      recordSuccess(nowNanos, attempt, tookNanos);
+      if (!attempt.stalled) {
+        recordSuccess(nowNanos, attempt, tookNanos);
+      }
+    }
+  }
+
+  /**
+   * The answer to an attempt has begun to arrive and has paused since. The server may be slow or
+   * the rest may never come, so the attempt stays in flight, and another one is sent beside it
+   * where that is allowed. Where it is not, an attempt that can be repeated is replaced, unless its
+   * answer may be long.
+   *
+   * @param mayBeLong whether the whole answer may be longer than what is buffered
+   */
+  public void onAnswerStalled(long nowNanos, long id, int number, boolean mayBeLong) {
+    Request.Attempt attempt = openAttempt(id, number);
+    if (attempt == null || attempt.stalled || attempt.request.finished) {
+      return;
     }
+    Request request = attempt.request;
+    attempt.server.onAnswerStalled(attempt);
+    recordError(nowNanos, attempt, Outcome.ERROR);
+    if (!mayBeLong && mayReplace(request, nowNanos)) {
+      actions.cancel(id, number); // Its outcome starts the next attempt.
+    } else {
+      retryOrFail(request, nowNanos);
+    }
+    serveQueue(nowNanos);
+  }
+
+  /** Whether a request whose attempts may not overlap can have another attempt instead. */
+  private boolean mayReplace(Request request, long nowNanos) {
+    return !request.settings.limits.mayHedge()
+        && request.settings.limits.mayCancel()
+        && request.requestClass.effect() != RequestClass.Effect.UNSAFE
+        && request.attemptCount < request.settings.limits.maxAttempts()
+        && retryTokens >= 1
+        && request.deadlineNanos - nowNanos >= request.expectedDelayNanos();
   }
 
   /** The attempt of this number if it is in flight, else null. */
@@ -335,15 +371,20 @@
     decaySends(nowNanos);
     decayedSends += 1;
     actions.send(request.id, server.id, 0);
-    if (request.settings.limits.mayHedge()
-        && request.requestClass.effect() != RequestClass.Effect.UNSAFE
-        && request.protocol.hedgeable()
-        && request.attemptCount < request.settings.limits.maxAttempts()) {
+    if (mayHedge(request)) {
       hedgeCandidates.add(attempt);
       scheduleSweep(nowNanos, attempt.overdueNanos);
     }
   }
 
+  /** Whether another attempt of the request may be sent beside one that is in flight. */
+  private static boolean mayHedge(Request request) {
+    return request.settings.limits.mayHedge()
+        && request.requestClass.effect() != RequestClass.Effect.UNSAFE
+        && request.protocol.hedgeable()
+        && request.attemptCount < request.settings.limits.maxAttempts();
+  }
+
   private double ratePerSecond(long nowNanos) {
     decaySends(nowNanos);
     return decayedSends * 1e9 / SEND_RATE_DECAY_NANOS;
@@ -397,16 +438,25 @@
     removeIfDone(request);
   }
 
-  /** Retries a request after a failed attempt, queues it or answers it with a failure. */
+  /**
+   * Retries a request after an attempt has failed or stalled, queues it or answers it with a
+   * failure. While a stalled attempt is in flight, its answer is waited for.
+   */
   private void retryOrFail(Request request, long nowNanos) {
-    if (request.openAttempts > 0 || request.queued) {
+    if (request.hasProgressingAttempt() || request.queued) {
       return;
     }
     boolean mayHaveRun = request.bindingAttempt() != null;
+    boolean stalledInFlight = request.openAttempts > 0;
     long leftNanos = request.deadlineNanos - nowNanos;
-    boolean noRetry = leftNanos < request.expectedDelayNanos() || (mayHaveRun && retryTokens < 1);
+    boolean noRetry =
+        leftNanos < request.expectedDelayNanos()
+            || (mayHaveRun && retryTokens < 1)
+            || (stalledInFlight && !mayHedge(request));
     if (!noRetry && trySend(request, nowNanos)) {
       retryTokens -= mayHaveRun ? 1 : 0;
+    } else if (stalledInFlight) {
+      return;
     } else if (noRetry
         || mayHaveRun
         || request.attemptCount >= request.settings.limits.maxAttempts()) {
@@ -518,6 +568,12 @@
     if (attempt.answerBegun && outcome == Outcome.OK) {
       return; // Recorded when the answer began; since then the client has set the pace.
     }
+    if (attempt.stalled) {
+      if (outcome == Outcome.OK) {
+        recordServed(nowNanos, attempt);
+      }
+      return; // Its delay is that of the pause, and an error was recorded with the pause.
+    }
     switch (outcome) {
       case OK -> recordSuccess(nowNanos, attempt, tookNanos);
       // Single resets and late connections may affect every server; a failing server fails all of
@@ -533,13 +589,19 @@
     }
   }
 
-  /** Updates the delay estimates, the error rates and the window of the server. */
-  private void recordSuccess(long nowNanos, Request.Attempt attempt, long tookNanos) {
+  /** Updates what follows from the fact that the server has served an attempt. */
+  private void recordServed(long nowNanos, Request.Attempt attempt) {
     Server server = attempt.server;
     server.lastResponseNanos = nowNanos;
     server.lastServedSentNanos = Math.max(server.lastServedSentNanos, attempt.sentNanos);
     server.consecutiveEjections = 0;
     updateErrorRates(server, 0);
+  }
+
+  /** Updates the delay estimates, the error rates and the window of the server. */
+  private void recordSuccess(long nowNanos, Request.Attempt attempt, long tookNanos) {
+    Server server = attempt.server;
+    recordServed(nowNanos, attempt);
     ActiveSettings settings = attempt.request.settings;
     int classIndex = attempt.request.classIndex;
     double classRelativeDelay = tookNanos / settings.classDelayNanos[classIndex];
--- a/src/main/java/heathswitch/policy/core/Request.java
+++ b/src/main/java/heathswitch/policy/core/Request.java
@@ -17,6 +17,10 @@
     boolean open = true;
 
     boolean answerBegun;
+
+    /** Whether its answer has begun to arrive and then paused; it no longer occupies a slot. */
+    boolean stalled;
+
     boolean mayHaveRun;
 
     Attempt(Request request, Server server, int number, long sentNanos, long overdueNanos) {
@@ -77,6 +81,16 @@
     openAttempts++;
   }
 
+  /** Whether an attempt is in flight that has not stalled. */
+  boolean hasProgressingAttempt() {
+    for (int i = 0; i < attemptCount; i++) {
+      if (attempts[i].open && !attempts[i].stalled) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /**
    * The earliest attempt that is in flight or may have run, or null. Later attempts must stay
    * within its deduplication window and group.
--- a/src/main/java/heathswitch/policy/core/Server.java
+++ b/src/main/java/heathswitch/policy/core/Server.java
@@ -148,7 +148,19 @@
     attempt.answerBegun = true;
   }
 
+  /** The answer has begun to arrive and then paused; the server's own work is done by then. */
+  void onAnswerStalled(Request.Attempt attempt) {
+    attempt.stalled = true;
+    releaseSlot(attempt);
+  }
+
   void onEnd(Request.Attempt attempt) {
+    if (!attempt.stalled) {
+      releaseSlot(attempt);
+    }
+  }
+
+  private void releaseSlot(Request.Attempt attempt) {
     inFlight--;
     unanswered.remove(attempt);
   }
--- a/src/main/java/heathswitch/proxy/dispatch/Counters.java
+++ b/src/main/java/heathswitch/proxy/dispatch/Counters.java
@@ -9,6 +9,7 @@
   long refused;
   long failed;
   long callerGone;
+  long stalledAnswers;
   private final long[] outcomes = new long[Outcome.values().length];
 
   public void countOutcome(Outcome outcome) {
@@ -29,6 +30,8 @@
             .append(failed)
             .append(", gone ")
             .append(callerGone)
+            .append(", stalled answers ")
+            .append(stalledAnswers)
             .append("; attempts");
     for (Outcome outcome : Outcome.values()) {
       if (outcomes[outcome.ordinal()] > 0) {
@@ -41,6 +44,7 @@
     refused = 0;
     failed = 0;
     callerGone = 0;
+    stalledAnswers = 0;
     return text.toString();
   }
 }
--- a/src/main/java/heathswitch/proxy/dispatch/Dispatcher.java
+++ b/src/main/java/heathswitch/proxy/dispatch/Dispatcher.java
@@ -392,6 +392,22 @@
     }
   }
 
+  @Override
+  public void answerStalled(LiveRequest.DispatchedAttempt attempt, boolean mayBeLong) {
+    LiveRequest request = attempt.request;
+    if (!attempt.open || request.completed || attempt.stalled) {
+      return;
+    }
+    attempt.stalled = true;
+    counters.stalledAnswers++;
+    RequestLog.logStall(request, clock.nowNanos());
+    if (!attempt.overflow) {
+      deliverEvent(
+          request,
+          () -> balancer.onAnswerStalled(clock.nowNanos(), request.id, attempt.number, mayBeLong));
+    }
+  }
+
   /** Starts streaming an answer: the request is completed, while its attempt remains open. */
   @Override
   public boolean beginStreaming(LiveRequest.DispatchedAttempt attempt) {
--- a/src/main/java/heathswitch/proxy/dispatch/LiveRequest.java
+++ b/src/main/java/heathswitch/proxy/dispatch/LiveRequest.java
@@ -22,6 +22,8 @@
 
     boolean maySend(DispatchedAttempt attempt);
 
+    void answerStalled(DispatchedAttempt attempt, boolean mayBeLong);
+
     void callerGone(LiveRequest request);
 
     void bodyComplete(LiveRequest request, long ttlNanos);
@@ -45,6 +47,9 @@
     /** Whether the answer is streamed to the caller as it arrives. */
     boolean streaming;
 
+    /** Whether the answer has paused while it arrived. */
+    boolean stalled;
+
     Future<?> timeout;
 
     DispatchedAttempt(
@@ -71,6 +76,16 @@
       return listener.maySend(this);
     }
 
+    @Override
+    public String requestId() {
+      return request.name;
+    }
+
+    @Override
+    public void answerStalled(boolean mayBeLong) {
+      listener.answerStalled(this, mayBeLong);
+    }
+
     @Override
     public boolean beginStreaming() {
       return listener.beginStreaming(this);
--- a/src/main/java/heathswitch/proxy/dispatch/RequestLog.java
+++ b/src/main/java/heathswitch/proxy/dispatch/RequestLog.java
@@ -5,13 +5,14 @@
 import java.util.stream.Collectors;
 
 /**
- * Logs each retry, refusal and failure with the request's id, the reason and the outcomes of the
- * attempts so far. Used on the event loop.
+ * Logs each retry, stall, refusal and failure with the request's id, the reason and the outcomes of
+ * the attempts so far. Used on the event loop.
  */
 final class RequestLog {
   private static final String RETRIED = "retry";
   private static final String REFUSED = "refused";
   private static final String FAILED = "failed";
+  private static final String STALLED = "answer stalled";
 
   /** A client-supplied id may be as long as a header can be. */
   private static final int MAX_NAME_CHARS = 64;
@@ -25,6 +26,11 @@
     }
   }
 
+  /** Logs that the answer to an attempt has paused while it arrived. */
+  static void logStall(LiveRequest request, long nowNanos) {
+    Log.info(STALLED, () -> format(request, nowNanos));
+  }
+
   static void logRefusal(LiveRequest request, long nowNanos) {
     Log.info(REFUSED, () -> format(request, nowNanos));
   }
@@ -51,7 +57,10 @@
   }
 
   private static String formatAttempt(LiveRequest.DispatchedAttempt attempt) {
-    return attempt.upstream().name
-        + (attempt.outcome == null ? " in flight" : " " + attempt.outcome);
+    String state =
+        attempt.outcome != null
+            ? attempt.outcome.toString()
+            : attempt.streaming ? "streaming" : attempt.stalled ? "stalled" : "in flight";
+    return attempt.upstream().name + " " + state;
   }
 }
--- a/src/main/java/heathswitch/proxy/http1/UpstreamConnection.java
+++ b/src/main/java/heathswitch/proxy/http1/UpstreamConnection.java
@@ -1,6 +1,7 @@
 package heathswitch.proxy.http1;
 
 import static java.util.concurrent.TimeUnit.MILLISECONDS;
+import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
 import heathswitch.policy.api.Outcome;
 import heathswitch.proxy.runtime.Channels;
@@ -54,14 +55,24 @@
   static final long MAX_BUFFERING_MILLIS = 1000;
 
   /**
-   * An answer that has begun and makes no progress for this long is considered lost. Guards against
-   * heads and bodies that stop short on a connection that stays open, and should also cover a
-   * machine that dies while writing. This fails upstreams that pause in the middle of an answer.
+   * An answer that has begun and makes no progress for this long is reported as stalled, so that
+   * another attempt can be sent beside it. Heads and bodies that stop short on a connection that
+   * stays open, and those of a machine that dies while writing, look the same as those of a slow
+   * upstream: the attempt itself goes on until the request's time is over.
    */
   static final long STALL_TIMEOUT_MILLIS = 500;
 
-  /** The same for a streamed answer. It is longer because such an answer cannot be retried. */
-  static final long STREAMED_STALL_TIMEOUT_MILLIS = 6000;
+  /** A streamed answer that makes no progress for this long is aborted. */
+  static final long STREAMED_STALL_TIMEOUT_MILLIS = 15_000;
+
+  /**
+   * A long answer that is incomplete this long before the request's deadline is streamed. Once a
+   * client has got the beginning, the rest may come after the deadline.
+   */
+  static final long STREAMING_MARGIN_MILLIS = 200;
+
+  /** The same for an answer that has stalled, so that any other attempt's answer goes first. */
+  static final long STALLED_STREAMING_MARGIN_MILLIS = 100;
 
   /** For a longer body of an error answer, closing is cheaper than reusing the connection. */
   private static final int MAX_DISCARDED_BYTES = 64 << 10;
@@ -111,8 +122,12 @@
   private int readsAtStart;
   private int readsAtInterim;
   private boolean sawInterimAnswer;
-  private Future<?> stallTimer;
-  private int readsAtStallCheck;
+  private final StallTimer stallTimer = new StallTimer(decoder);
+  private Future<?> streamingTimer;
+
+  /** Whether nothing has been received since the stall timer found that the answer had stalled. */
+  private boolean stalled;
+
   private long answerStartedNanos;
   private long streamedBytes;
   private StreamedAnswerSink sink;
@@ -278,7 +293,7 @@
       return false;
     }
     attempt = null;
-    cancelStallTimer();
+    cancelAnswerTimers();
     phase = Phase.STREAMING;
     streamedBytes = buffered.readableBytes();
     sink = payload.sink();
@@ -311,24 +326,18 @@
   }
 
   private void watchStreamForStall() {
-    readsAtStallCheck = decoder.readCount();
-    stallTimer =
-        channel
-            .eventLoop()
-            .schedule(
-                () -> {
-                  stallTimer = null;
-                  if (phase != Phase.STREAMING) {
-                    return;
-                  }
-                  if (!paused && decoder.readCount() == readsAtStallCheck) {
-                    failInvalidAnswer("answer stalled");
-                  } else {
-                    watchStreamForStall();
-                  }
-                },
-                STREAMED_STALL_TIMEOUT_MILLIS,
-                MILLISECONDS);
+    stallTimer.start(channel.eventLoop(), STREAMED_STALL_TIMEOUT_MILLIS, this::checkStreamForStall);
+  }
+
+  private void checkStreamForStall(boolean receivedBytes) {
+    if (phase != Phase.STREAMING) {
+      return;
+    }
+    if (!paused && !receivedBytes) {
+      failInvalidAnswer("streamed answer stalled");
+    } else {
+      watchStreamForStall();
+    }
   }
 
   @Override
@@ -420,6 +429,38 @@
     phase = Phase.BUFFERING;
     answerStartedNanos = clock.nowNanos();
     buffered = channel.alloc().compositeBuffer(1024);
+    if (mayBeLong()) {
+      streamBeforeDeadline(attempt, STREAMING_MARGIN_MILLIS);
+    }
+  }
+
+  /** Whether the answer that has begun may be too long to be buffered. */
+  private boolean mayBeLong() {
+    return phase == Phase.BUFFERING
+        && HttpUtil.getContentLength(head, Long.MAX_VALUE) > MAX_BUFFERED_BYTES;
+  }
+
+  private void streamBeforeDeadline(Attempt current, long marginMillis) {
+    long leftNanos = current.deadlineNanos() - clock.nowNanos();
+    streamingTimer =
+        channel
+            .eventLoop()
+            .schedule(
+                () -> onDeadlineNear(current, marginMillis),
+                leftNanos - MILLISECONDS.toNanos(marginMillis),
+                NANOSECONDS);
+  }
+
+  private void onDeadlineNear(Attempt current, long marginMillis) {
+    streamingTimer = null;
+    if (attempt != current || phase != Phase.BUFFERING) {
+      return;
+    }
+    if (stalled && marginMillis > STALLED_STREAMING_MARGIN_MILLIS) {
+      streamBeforeDeadline(current, STALLED_STREAMING_MARGIN_MILLIS);
+    } else if (startStreaming()) {
+      sink.answerFlush();
+    }
   }
 
   private static boolean hasUnknownFraming(HttpResponse response) {
@@ -493,8 +534,8 @@
     if (phase == Phase.IDLE && bytesRead) {
       closeAfterUnaskedBytes(); // Even if the bytes do not form a message yet.
     } else if (phase == Phase.AWAITING_HEAD && awaitsFinalAnswer()) {
-      cancelStallTimer(); // The interim answers are complete; the final one may take longer.
-    } else if (bytesRead && attempt != null && phase != Phase.COMPLETE && stallTimer == null) {
+      stallTimer.cancel(); // The interim answers are complete; the final one may take longer.
+    } else if (bytesRead && attempt != null && phase != Phase.COMPLETE && !stallTimer.isRunning()) {
       watchForStall();
     }
     if (phase == Phase.STREAMING) {
@@ -570,20 +611,20 @@
 
   private void watchForStall() {
     Attempt watched = attempt;
-    readsAtStallCheck = decoder.readCount();
-    stallTimer =
-        channel
-            .eventLoop()
-            .schedule(() -> checkForStall(watched), STALL_TIMEOUT_MILLIS, MILLISECONDS);
+    stalled = false;
+    stallTimer.start(
+        channel.eventLoop(),
+        STALL_TIMEOUT_MILLIS,
+        receivedBytes -> checkForStall(watched, receivedBytes));
   }
 
-  private void checkForStall(Attempt watched) {
-    stallTimer = null;
+  private void checkForStall(Attempt watched, boolean receivedBytes) {
     if (attempt != watched || phase == Phase.COMPLETE) {
       return;
     }
-    if (decoder.readCount() == readsAtStallCheck) {
-      failInvalidAnswer("answer stalled");
+    if (!receivedBytes) {
+      stalled = true;
+      attempt.answerStalled(mayBeLong());
     } else if (phase == Phase.BUFFERING
         && buffered.isReadable()
         && clock.nowNanos() - answerStartedNanos >= MAX_BUFFERING_MILLIS * 1_000_000L) {
@@ -599,16 +640,17 @@
     return sawInterimAnswer && decoder.readCount() == readsAtInterim && !decoder.hasUnparsedBytes();
   }
 
-  private void cancelStallTimer() {
-    if (stallTimer != null) {
-      stallTimer.cancel(false);
-      stallTimer = null;
+  private void cancelAnswerTimers() {
+    stallTimer.cancel();
+    if (streamingTimer != null) {
+      streamingTimer.cancel(false);
+      streamingTimer = null;
     }
   }
 
   /** Returns the connection to the pool, unless one of the sides wants it closed. */
   private void finishExchange() {
-    cancelStallTimer();
+    cancelAnswerTimers();
     head = null;
     pool.headMemory.update(this, 0);
     readsAtStart = decoder.readCount();
@@ -630,9 +672,15 @@
    * so the outcome is an error, which the policy compares with the other upstreams.
    */
   private void failInvalidAnswer(String reason) {
-    Log.warn(
-        "spoilt answer", upstream.name + ": " + reason, "server", upstream.name, "reason", reason);
     Attempt failed = attempt;
+    String request = failed == null ? "" : ", request " + failed.requestId();
+    Log.warn(
+        "spoilt answer",
+        upstream.name + ": " + reason + request,
+        "server",
+        upstream.name,
+        "reason",
+        reason);
     attempt = null;
     close();
     if (failed != null) {
@@ -680,7 +728,7 @@
       return;
     }
     closed = true;
-    cancelStallTimer();
+    cancelAnswerTimers();
     if (dialTimeout != null) {
       dialTimeout.cancel(false);
       dialTimeout = null;
--- a/src/main/java/heathswitch/proxy/spi/Attempt.java
+++ b/src/main/java/heathswitch/proxy/spi/Attempt.java
@@ -38,6 +38,17 @@
    */
   public abstract boolean maySend();
 
+  /** The client's id of the request, for the log. */
+  public abstract String requestId();
+
+  /**
+   * Reports that the answer has begun to arrive and has paused since. The attempt stays in flight,
+   * unless it is cancelled within the call.
+   *
+   * @param mayBeLong whether the whole answer may be too long to be buffered
+   */
+  public abstract void answerStalled(boolean mayBeLong);
+
   /**
    * Asks whether the answer may be streamed to the caller as it arrives. If so, the request is
    * bound to this answer: it can no longer be retried, and its concurrent attempts are cancelled.
