Count a client's time from when it may have sent all of a long request

Cause: the time ran from the last byte that was read, less the last pause of reading only. A server that reads slowly causes many short pauses, in which the sockets hold megabytes that the client sent long ago. Now the time runs from the last moment at which nothing was unread, or at which the rest was more than the sockets can hold; for the latter the receive buffer of clients is fixed at 256 KiB, where the system let it grow to 8 MB and more. A request whose time is over with its last byte is refused and that byte not sent on.

--- a/src/main/java/heathswitch/proxy/http1/ClientConnection.java
+++ b/src/main/java/heathswitch/proxy/http1/ClientConnection.java
@@ -18,6 +18,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -87,6 +88,13 @@
   /** Time for reading what arrived while reading was paused. */
   private static final long BACKLOG_READ_NANOS = 100_000_000L;
 
+  /** What a client's own socket may hold of a body: Linux lets send buffers grow to 4 MiB. */
+  private static final long MAX_SEND_BUFFER_BYTES = 5 << 20;
+
+  /** How much of a body may have been sent and not read. The system doubles the set size. */
+  private static final long MAX_SOCKET_BUFFER_BYTES =
+      MAX_SEND_BUFFER_BYTES + 2 * ClientListener.RECEIVE_BUFFER_BYTES;
+
   /** Added to the timeout of a request whose body is streamed, for receiving the body. */
   private static final long MAX_UPLOAD_NANOS = 600_000_000_000L;
 
@@ -163,6 +171,12 @@
 
   private long resumedNanos;
 
+  /** Since when input may have arrived that has not been read; 0 if all of it has been read. */
+  private long unreadSinceNanos;
+
+  /** When so much of a body had been read that the client may have sent all of it. */
+  private long maybeSentNanos;
+
   /** The source of the answer while an answer is being streamed, otherwise null. */
   private StreamedAnswerSource answerSource;
 
@@ -411,7 +425,8 @@
     }
     long prefixReservation = reservedBytes;
     reservedBytes = 0;
-    pausedNanos = 0;
+    unreadSinceNanos = 0;
+    maybeSentNanos = clock.nowNanos();
     long contentLength = HttpUtil.getContentLength(head, -1L);
     streamedBody =
         new StreamedRequestBody(
@@ -436,13 +451,21 @@
       return;
     }
     if (!last) {
+      if (cannotHaveSentAll()) {
+        maybeSentNanos = lastPieceNanos;
+      }
       streamedBody.append(content.content().retain(), false);
       return;
     }
+    long remainingNanos = remainingClientNanos();
+    if (remainingNanos == 0) {
+      refuseUpload();
+      return;
+    }
     phase = Phase.AWAITING_ANSWER;
     timerStartNanos = lastPieceNanos;
     if (ticket != null) {
-      ticket.bodyComplete(remainingClientNanos());
+      ticket.bodyComplete(remainingNanos);
     }
     lastBodyPiece = content.content().retain();
   }
@@ -469,6 +492,7 @@
       lastPieceNanos = clock.nowNanos();
       if (paused) {
         pausedNanos = lastPieceNanos;
+        mayHaveUnreadInput();
       } else {
         resumedNanos = lastPieceNanos;
       }
@@ -492,15 +516,37 @@
   }
 
   /**
-   * How long the client still waits if it has sent everything. While reading is paused, and as the
-   * bytes that arrived meanwhile are read, the last byte may have been sent before the pause.
+   * How long the client still waits if it has sent everything. Its time counts from its last byte,
+   * which may have been sent as soon as not all input was read at once: an upstream that reads
+   * slowly causes many short pauses.
    */
   long remainingClientNanos() {
-    long now = clock.nowNanos();
-    boolean mayHaveWaited =
-        streamedBody != null
-            && (readingPaused || pausedNanos > 0 && now - resumedNanos < BACKLOG_READ_NANOS);
-    return Math.max(0, clientTimeoutNanos - (mayHaveWaited ? now - pausedNanos : 0));
+    if (streamedBody == null || unreadSinceNanos == 0 || cannotHaveSentAll()) {
+      return clientTimeoutNanos;
+    }
+    long waitedNanos = clock.nowNanos() - Math.max(unreadSinceNanos, maybeSentNanos);
+    return Math.max(0, clientTimeoutNanos - waitedNanos);
+  }
+
+  /** Whether the rest of the body is longer than what can be on its way. */
+  private boolean cannotHaveSentAll() {
+    return streamedBody.length() - bodyBytes > MAX_SOCKET_BUFFER_BYTES;
+  }
+
+  private void mayHaveUnreadInput() {
+    if (unreadSinceNanos == 0) {
+      unreadSinceNanos = clock.nowNanos();
+    }
+  }
+
+  /** Called at the end of each read. */
+  private void updateUnreadInput() {
+    RecvByteBufAllocator.Handle reads = channel.unsafe().recvBufAllocHandle();
+    if (reads.lastBytesRead() >= reads.attemptedBytesRead()) {
+      mayHaveUnreadInput();
+    } else {
+      unreadSinceNanos = readingPaused ? clock.nowNanos() : 0;
+    }
   }
 
   /** How long reading may be paused; the time of a client that has sent everything runs on. */
@@ -855,6 +901,9 @@
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
     decoding = false;
+    if (phase == Phase.STREAMING_BODY) {
+      updateUnreadInput();
+    }
     if (lastBodyPiece != null) {
       forwardLastBodyPiece();
     }
@@ -987,9 +1036,13 @@
         }
       }
       case STREAMING_BODY -> {
+        if (!readingPaused && now - Math.max(resumedNanos, lastPieceNanos) > BACKLOG_READ_NANOS) {
+          unreadSinceNanos = 0; // Otherwise something would have been read.
+        }
         if (!readingPaused && isBodyTooSlow(now)) {
           channel.close(); // Without its last byte the request never runs.
-        } else if (readingPaused && now - pausedNanos > maxPauseNanos()) {
+        } else if (remainingClientNanos() == 0
+            || (readingPaused && now - pausedNanos > maxPauseNanos())) {
           refuseUpload();
         }
       }
--- a/src/main/java/heathswitch/proxy/http1/ClientListener.java
+++ b/src/main/java/heathswitch/proxy/http1/ClientListener.java
@@ -24,6 +24,14 @@
 /** Accepts client connections and keeps their number within the budget. */
 public final class ClientListener {
   private static final int ACCEPT_BACKLOG = 4096;
+
+  /**
+   * Receive buffer of the sockets of clients. Fixed, since the system would let it grow to many
+   * megabytes, which hide from the balancer how much of a request has been sent. Enough for 13 MB/s
+   * over a round trip of 20 ms.
+   */
+  static final int RECEIVE_BUFFER_BYTES = 256 << 10;
+
   private static final long TICK_MILLIS = 200;
 
   /**
@@ -88,6 +96,7 @@
     ServerBootstrap bootstrap =
         Listeners.bootstrap(loop, this::onAccepted)
             .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+            .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
             .childOption(
                 ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(16384, 65536));
     if (reusePort) {
