--- a/src/main/java/heathswitch/testbed/platform/PlatformBalancer.java
+++ b/src/main/java/heathswitch/testbed/platform/PlatformBalancer.java
@@ -21,7 +21,7 @@
  * configuration in EDGE_CONFIG.
  */
 public final class PlatformBalancer implements AutoCloseable {
-  private static final List<String> JVM_FLAGS =
+  private static final List<String> DEFAULT_FLAGS =
       List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData");
   private static final int DEFAULT_HEAP_MEGABYTES = 64;
   private static final long PROCESS_TIMEOUT_MILLIS = 30_000;
@@ -36,6 +36,10 @@
   private final InetSocketAddress listen = BalancerProcess.freeAddress();
   private final Map<String, String> environment = new HashMap<>();
   private Map<String, Object> config = Map.of();
+
+  /** The flags of the next JVMs, or null for the default ones. */
+  private List<String> jvmFlags;
+
   private int heapMegabytes = DEFAULT_HEAP_MEGABYTES;
   private Process process;
   private int starts;
@@ -63,6 +67,21 @@
     heapMegabytes = megabytes;
   }
 
+  /** Sets the flags of the next JVMs, with the maximum heap among them. */
+  public void jvmFlags(List<String> flags) {
+    jvmFlags = List.copyOf(flags);
+  }
+
+  /** The largest resident set of the running process so far, in megabytes. */
+  public int peakMemoryMegabytes() throws IOException {
+    for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
+      if (line.startsWith("VmHWM:")) {
+        return Integer.parseInt(line.replaceAll("[^0-9]", "")) / 1024;
+      }
+    }
+    throw new IOException("no VmHWM for process " + process.pid());
+  }
+
   /** Writes the configuration that the next start or SIGHUP reads. */
   void configure(Map<String, Object> next) throws IOException {
     config = next;
@@ -89,8 +108,10 @@
     starts++;
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-    command.addAll(JVM_FLAGS);
-    command.add("-Xmx" + heapMegabytes + "m");
+    command.addAll(jvmFlags != null ? jvmFlags : DEFAULT_FLAGS);
+    if (jvmFlags == null) {
+      command.add("-Xmx" + heapMegabytes + "m");
+    }
     command.addAll(List.of("-cp", CLASS_PATH, "heathswitch.proxy.Main", "serve"));
     ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
     builder.environment().put("EDGE_CONFIG", configFile().toString());
--- a/src/test/java/heathswitch/testbed/platform/SlowMessagesTest.java
+++ b/src/test/java/heathswitch/testbed/platform/SlowMessagesTest.java
@@ -7,13 +7,9 @@
 import heathswitch.testbed.server.ServerProfile;
 import heathswitch.testbed.server.ServiceTime;
 import java.io.BufferedInputStream;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.util.ArrayList;
@@ -131,102 +127,34 @@
 
   // ---- servers ----
 
-  private static Thread daemon(Runnable task) {
-    Thread thread = new Thread(task);
-    thread.setDaemon(true);
-    thread.start();
-    return thread;
-  }
-
-  private static ServerSocket startServer(PlatformFleet fleet) throws IOException {
-    ServerSocket listener = new ServerSocket(0, 512, InetAddress.getLoopbackAddress());
-    fleet.addServerAt(new InetSocketAddress("127.0.0.1", listener.getLocalPort()));
-    daemon(
-        () -> {
-          try {
-            while (true) {
-              Socket connection = listener.accept();
-              connection.setTcpNoDelay(true);
-              daemon(() -> serve(connection));
-            }
-          } catch (IOException e) {
-            // The listener was closed.
-          }
-        });
-    return listener;
-  }
-
-  private static void serve(Socket connection) {
-    try (connection) {
-      InputStream in = new BufferedInputStream(connection.getInputStream());
-      for (List<String> head = readHead(in); !head.isEmpty(); head = readHead(in)) {
-        String[] path = head.get(0).split(" ")[1].split("/");
-        if (path[2].equals("upload")) {
-          readSlowly(in, head, Long.parseLong(path[3]));
-          byte[] answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".getBytes(US_ASCII);
-          connection.getOutputStream().write(answer);
-        } else {
-          AnswerPace pace = AnswerPace.valueOf(path[2]);
-          pace.write(connection, Framing.valueOf(path[3]), answerTo(header(head, "x-request-id")));
-        }
-      }
-    } catch (Exception e) {
-      // The balancer has closed the connection.
+  private static void answer(RawHead request, InputStream in, Socket connection) throws Exception {
+    if (request.pathPart(2).equals("upload")) {
+      readSlowly(in, request, Long.parseLong(request.pathPart(3)));
+      byte[] answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".getBytes(US_ASCII);
+      connection.getOutputStream().write(answer);
+    } else {
+      AnswerPace pace = AnswerPace.valueOf(request.pathPart(2));
+      Framing framing = Framing.valueOf(request.pathPart(3));
+      pace.write(connection, framing, answerTo(request.header("x-request-id")));
     }
   }
 
-  private static void readSlowly(InputStream in, List<String> head, long bytesPerSecond)
+  private static void readSlowly(InputStream in, RawHead head, long bytesPerSecond)
       throws Exception {
-    boolean chunked = header(head, "transfer-encoding") != null;
-    int left = chunked ? Integer.parseInt(readLine(in), 16) : contentLength(head);
+    boolean chunked = head.isChunked();
+    int left = chunked ? Integer.parseInt(RawHead.readLine(in), 16) : head.contentLength();
     while (left > 0) {
       int read = in.readNBytes(Math.min(left, SLOW_READ_BYTES)).length;
       left -= read;
       Thread.sleep(1000L * SLOW_READ_BYTES / bytesPerSecond);
       if (chunked && left == 0) {
-        readLine(in);
-        left = Integer.parseInt(readLine(in), 16);
+        RawHead.readLine(in);
+        left = Integer.parseInt(RawHead.readLine(in), 16);
       }
     }
     if (chunked) {
-      readLine(in);
-    }
-  }
-
-  private static int contentLength(List<String> head) {
-    String value = header(head, "content-length");
-    return value == null ? 0 : Integer.parseInt(value);
-  }
-
-  private static String header(List<String> head, String name) {
-    for (String line : head) {
-      if (line.toLowerCase().startsWith(name + ":")) {
-        return line.substring(name.length() + 1).trim();
-      }
+      RawHead.readLine(in);
     }
-    return null;
-  }
-
-  /** Reads the lines of a head; none at the end of the connection. */
-  private static List<String> readHead(InputStream in) throws IOException {
-    List<String> lines = new ArrayList<>();
-    for (String line = readLine(in); line != null && !line.isEmpty(); line = readLine(in)) {
-      lines.add(line);
-    }
-    return lines;
-  }
-
-  private static String readLine(InputStream in) throws IOException {
-    ByteArrayOutputStream line = new ByteArrayOutputStream();
-    for (int next = in.read(); next != '\n'; next = in.read()) {
-      if (next < 0) {
-        return null;
-      }
-      if (next != '\r') {
-        line.write(next);
-      }
-    }
-    return line.toString(US_ASCII);
   }
 
   // ---- clients ----
@@ -250,21 +178,6 @@
         + "\r\n";
   }
 
-  private static byte[] readBody(InputStream in, List<String> head) throws IOException {
-    if (header(head, "transfer-encoding") == null) {
-      return in.readNBytes(contentLength(head));
-    }
-    ByteArrayOutputStream body = new ByteArrayOutputStream();
-    for (String size = readLine(in); size != null; size = readLine(in)) {
-      body.write(in.readNBytes(Integer.parseInt(size, 16)));
-      readLine(in);
-      if (size.equals("0")) {
-        return body.toByteArray();
-      }
-    }
-    throw new IOException("connection ended after " + body.size() + " bytes of the body");
-  }
-
   /** Sends a request and returns what is wrong with its answer, or null. */
   private static String faultOfAnswer(
       PlatformBalancer balancer, String requestClass, AnswerPace pace, Framing framing) {
@@ -274,10 +187,10 @@
       String end = requestClass.equals("view") ? "\r\n" : "Content-Length: 0\r\n\r\n";
       socket.getOutputStream().write((head(requestClass, path, id) + end).getBytes(US_ASCII));
       InputStream in = new BufferedInputStream(socket.getInputStream());
-      List<String> answerHead = readHead(in);
-      byte[] body = readBody(in, answerHead);
-      boolean served = answerHead.get(0).contains(" 200 ") && Arrays.equals(body, answerTo(id));
-      return served ? null : id + ": " + answerHead.get(0) + ", " + body.length + " bytes";
+      RawHead answerHead = RawHead.read(in);
+      byte[] body = answerHead.readBody(in);
+      boolean served = answerHead.status() == 200 && Arrays.equals(body, answerTo(id));
+      return served ? null : id + ": " + answerHead.status() + ", " + body.length + " bytes";
     } catch (Exception e) {
       return id + ": " + e;
     }
@@ -286,11 +199,11 @@
   /** Guards against a sound answer that is cut off because its server pauses while writing it. */
   @Test
   void longAnswersWithPausesArriveWhole() throws Exception {
-    List<ServerSocket> servers = new ArrayList<>();
+    List<ScriptedServer> servers = new ArrayList<>();
     ExecutorService clients = Executors.newCachedThreadPool();
     try (PlatformFleet fleet = new PlatformFleet(95, SETTINGS, UNUSED_SHAPE)) {
       for (int i = 0; i < SERVERS; i++) {
-        servers.add(startServer(fleet));
+        servers.add(ScriptedServer.start(fleet, SlowMessagesTest::answer));
       }
       fleet.startBalancers(2);
       List<Future<String>> requests = new ArrayList<>();
@@ -312,7 +225,7 @@
       assertEquals(List.of(), faults, () -> log(fleet));
     } finally {
       clients.shutdownNow();
-      for (ServerSocket server : servers) {
+      for (ScriptedServer server : servers) {
         server.close();
       }
     }
@@ -337,7 +250,7 @@
                 : "Content-Length: " + bytes + "\r\n\r\n";
         long[] writtenNanos = {Long.MAX_VALUE};
         Thread writer =
-            daemon(
+            ScriptedServer.daemon(
                 () -> {
                   try {
                     OutputStream out = socket.getOutputStream();
@@ -350,10 +263,10 @@
                     // Answered before it was written; then it is not late.
                   }
                 });
-        String status = readHead(new BufferedInputStream(socket.getInputStream())).get(0);
+        int status = RawHead.read(new BufferedInputStream(socket.getInputStream())).status();
         long answeredNanos = System.nanoTime();
         writer.join(100);
-        assertTrue(status.matches("HTTP/1.1 (200|50[234]) .*"), id + ": " + status);
+        assertTrue(status == 200 || status >= 502 && status <= 504, id + ": " + status);
         return writtenNanos[0] == Long.MAX_VALUE
             ? 0
             : (answeredNanos - writtenNanos[0]) / 1_000_000 - CLIENT_WAIT_MILLIS;
@@ -364,11 +277,11 @@
   /** Guards against a final answer that is late because the server reads the request slowly. */
   @Test
   void longRequestsToSlowReadersAreAnsweredInTime() throws Exception {
-    List<ServerSocket> servers = new ArrayList<>();
+    List<ScriptedServer> servers = new ArrayList<>();
     ExecutorService clients = Executors.newCachedThreadPool();
     try (PlatformFleet fleet = new PlatformFleet(96, SETTINGS, UNUSED_SHAPE)) {
       for (int i = 0; i < SERVERS; i++) {
-        servers.add(startServer(fleet));
+        servers.add(ScriptedServer.start(fleet, SlowMessagesTest::answer));
       }
       fleet.startBalancers(2);
       List<Upload> uploads = new ArrayList<>();
@@ -394,7 +307,7 @@
       assertEquals(List.of(), late, () -> log(fleet));
     } finally {
       clients.shutdownNow();
-      for (ServerSocket server : servers) {
+      for (ScriptedServer server : servers) {
         server.close();
       }
     }
