Bound what one connection takes of memory and of the event loop's time

Callers beside one client that sent a body in chunks of one byte at full speed got their answers after 3 s or never; answers in such chunks ended the process (Java heap space); 480 slow readers or 460 unfinished bodies of 64 KB took it to 120 to 123 MB of 128. One cause: nothing limited what a connection takes in one turn and what many hold together. One read could be 1 MB, decoded into 170,000 objects of 100 bytes each for one byte. - Short pieces of a body are joined as they are read (BodyBuffer, PieceCollector), both ways. - Small parts of input are decoded in at most a quarter of the loop's time, all connections together (DecodingThrottle); a costly read is cut short. Usual messages never fall under it. - What is sent behind a request past the few parts that are kept is discarded undecoded. - Bodies being received that reserve nothing hold 10 MB together, buffered answers 8 MB (the largest is refused, or streamed), streamed answers share 4 MB, at least 16 KB each.

--- a/src/main/java/heathswitch/proxy/http1/RequestBodyBuffer.java
+++ b/src/main/java/heathswitch/proxy/http1/BodyBuffer.java
@@ -5,12 +5,13 @@
 import io.netty.buffer.CompositeByteBuf;
 
 /**
- * Accumulates the body of a request. Pieces are copied into blocks, because a retained short piece
- * would keep alive the whole buffer that it was read into, and a body of many pieces would have to
- * be consolidated repeatedly.
+ * Accumulates the body of a message. Pieces are copied into blocks, because a retained short piece
+ * would keep alive the whole buffer that it was read into, and the objects for a piece of one byte
+ * take a hundred times its size. Blocks grow with what has arrived, whatever length is declared.
  */
-final class RequestBodyBuffer {
-  private static final int BLOCK_BYTES = 32 << 10;
+final class BodyBuffer {
+  private static final int MAX_BLOCK_BYTES = 32 << 10;
+  private static final int FIRST_BLOCK_BYTES = 1 << 10;
   private static final int MIN_BLOCK_BYTES = 64;
   private static final int MAX_BLOCKS = 2048;
 
@@ -24,9 +25,9 @@
   /**
    * Creates an empty buffer.
    *
-   * @param declaredLength Content-Length of the request, or -1 if it has none
+   * @param declaredLength Content-Length of the message, or -1 if it has none
    */
-  RequestBodyBuffer(ByteBufAllocator allocator, long declaredLength) {
+  BodyBuffer(ByteBufAllocator allocator, long declaredLength) {
     this.allocator = allocator;
     this.declaredLength = declaredLength;
     this.blocks = allocator.compositeBuffer(MAX_BLOCKS);
@@ -46,8 +47,14 @@
   }
 
   private int nextBlockBytes() {
-    long remaining = declaredLength < 0 ? BLOCK_BYTES : declaredLength - blocks.readableBytes();
-    return (int) Math.max(MIN_BLOCK_BYTES, Math.min(remaining, BLOCK_BYTES));
+    int received = blocks.readableBytes();
+    long remaining = declaredLength < 0 ? MAX_BLOCK_BYTES : declaredLength - received;
+    int grown = Math.max(FIRST_BLOCK_BYTES, Math.min(received, MAX_BLOCK_BYTES));
+    return (int) Math.max(MIN_BLOCK_BYTES, Math.min(remaining, grown));
+  }
+
+  int readableBytes() {
+    return blocks.readableBytes() + (tail == null ? 0 : tail.readableBytes());
   }
 
   private void closeBlock() {
--- a/src/main/java/heathswitch/proxy/http1/ClientConnection.java
+++ b/src/main/java/heathswitch/proxy/http1/ClientConnection.java
@@ -18,8 +18,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.RecvByteBufAllocator;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -45,7 +43,7 @@
 
 /** A client connection; processes one request at a time. */
 final class ClientConnection extends ChannelInboundHandlerAdapter
-    implements Caller, StreamedAnswerSink, HeadMemoryBudget.Holder {
+    implements Caller, StreamedAnswerSink, MemoryBudget.Holder {
   /** Requests that declare a longer body are rejected unread. Clients send up to 32 MB. */
   static final long MAX_BODY_BYTES = 40L << 20;
 
@@ -144,14 +142,15 @@
   private boolean keepAlive;
   private RequestClass requestClass;
   private long clientTimeoutNanos;
-  private RequestBodyBuffer body;
+  private BodyBuffer body;
   private long bodyBytes;
   private long reservedBytes;
   private RequestHandle ticket;
   private boolean replayingPipeline;
+  private final SocketInput input;
 
-  /** Whether this connection is inside a read, when the socket must not be read again. */
-  private boolean decoding;
+  /** Whether a complete request is being accepted, for which pending input is read. */
+  private boolean accepting;
 
   /** Last piece of a streamed body, kept until the client is known to be still connected. */
   private ByteBuf lastBodyPiece;
@@ -171,9 +170,6 @@
 
   private long resumedNanos;
 
-  /** Since when input may have arrived that has not been read; 0 if all of it has been read. */
-  private long unreadSinceNanos;
-
   /** When so much of a body had been read that the client may have sent all of it. */
   private long maybeSentNanos;
 
@@ -182,6 +178,21 @@
 
   private boolean streamedAnswerKeepAlive;
   private boolean streamedAnswerChunked;
+
+  /** Represents the incomplete body in the budget for bodies. */
+  private final MemoryBudget.Holder bodyHolder =
+      new MemoryBudget.Holder() {
+        @Override
+        public boolean canReleaseMemory() {
+          return phase == Phase.READING_BODY;
+        }
+
+        @Override
+        public void releaseMemory() {
+          refuseUnread();
+        }
+      };
+
   private final ChannelFutureListener writeListener = done -> recordWriteProgress();
 
   public ClientConnection(
@@ -195,6 +206,7 @@
     this.dispatcher = dispatcher;
     this.clock = clock;
     this.channel = channel;
+    this.input = new SocketInput(channel, clock, listener.decodingThrottle);
     this.timerStartNanos = clock.nowNanos();
   }
 
@@ -202,12 +214,12 @@
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
-    decoding = true;
     if (message instanceof ByteBuf undecoded) {
       discard(undecoded);
       return;
     }
     HttpObject part = (HttpObject) message;
+    input.partRead(part);
     boolean busy = phase == Phase.REQUEST_COMPLETE || phase == Phase.AWAITING_ANSWER;
     if (busy || !pipelined.isEmpty() || pipelined.hasOverflowed()) {
       queuePipelined(part);
@@ -220,14 +232,7 @@
   private void queuePipelined(HttpObject part) {
     pipelined.add(part);
     if (pipelined.hasOverflowed()) {
-      keepAlive = false;
-    }
-    pauseAfterLongOverflow();
-  }
-
-  private void pauseAfterLongOverflow() {
-    if (pipelined.overflowLimitExceeded()) {
-      channel.config().setAutoRead(false);
+      dropPipelined();
     }
   }
 
@@ -239,19 +244,24 @@
       countDiscarded(bytes);
     } else {
       pipelined.countDiscarded(bytes);
-      pauseAfterLongOverflow();
+      if (pipelined.overflowLimitExceeded()) {
+        input.pause(SocketInput.Pause.OVERFLOW);
+      }
     }
   }
 
   /**
    * Reads pending input first, unless a read is in progress. Only reading detects that the client
    * has closed the connection, which may have happened long ago if the event loop was delayed or
-   * reading was paused.
+   * reading was paused. Of a body that is being streamed only a little is read, as it is kept in
+   * memory.
    */
   @Override
   public boolean isStillWaiting() {
-    if (!decoding && channel.isActive()) {
-      ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+    if (phase == Phase.STREAMING_BODY) {
+      input.readOnce();
+    } else {
+      input.readPending();
     }
     if (!channel.isActive()) {
       onDisconnected(); // channelInactive is only called on a later turn of the event loop.
@@ -330,7 +340,7 @@
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over 40 MiB");
       return;
     }
-    body = new RequestBodyBuffer(channel.alloc(), HttpUtil.getContentLength(request, -1L));
+    body = new BodyBuffer(channel.alloc(), HttpUtil.getContentLength(request, -1L));
     sendContinueIfExpected();
   }
 
@@ -425,7 +435,7 @@
     }
     long prefixReservation = reservedBytes;
     reservedBytes = 0;
-    unreadSinceNanos = 0;
+    input.noteSilence();
     maybeSentNanos = clock.nowNanos();
     long contentLength = HttpUtil.getContentLength(head, -1L);
     streamedBody =
@@ -454,7 +464,7 @@
       if (cannotHaveSentAll()) {
         maybeSentNanos = lastPieceNanos;
       }
-      streamedBody.append(content.content().retain(), false);
+      streamedBody.append(content.content());
       return;
     }
     long remainingNanos = remainingClientNanos();
@@ -479,7 +489,7 @@
     ByteBuf piece = lastBodyPiece;
     lastBodyPiece = null;
     if (isStillWaiting() && streamedBody != null) {
-      streamedBody.append(piece, true);
+      streamedBody.appendLast(piece);
     } else {
       piece.release();
     }
@@ -492,12 +502,12 @@
       lastPieceNanos = clock.nowNanos();
       if (paused) {
         pausedNanos = lastPieceNanos;
-        mayHaveUnreadInput();
+        input.pause(SocketInput.Pause.BACKPRESSURE);
       } else {
         resumedNanos = lastPieceNanos;
+        input.resume(SocketInput.Pause.BACKPRESSURE);
       }
       timerStartNanos = lastPieceNanos - slowestTransferNanos(bodyBytes);
-      channel.config().setAutoRead(!paused);
     }
   }
 
@@ -521,10 +531,10 @@
    * slowly causes many short pauses.
    */
   long remainingClientNanos() {
-    if (streamedBody == null || unreadSinceNanos == 0 || cannotHaveSentAll()) {
+    if (streamedBody == null || input.unreadSinceNanos() == 0 || cannotHaveSentAll()) {
       return clientTimeoutNanos;
     }
-    long waitedNanos = clock.nowNanos() - Math.max(unreadSinceNanos, maybeSentNanos);
+    long waitedNanos = clock.nowNanos() - Math.max(input.unreadSinceNanos(), maybeSentNanos);
     return Math.max(0, clientTimeoutNanos - waitedNanos);
   }
 
@@ -533,22 +543,6 @@
     return streamedBody.length() - bodyBytes > MAX_SOCKET_BUFFER_BYTES;
   }
 
-  private void mayHaveUnreadInput() {
-    if (unreadSinceNanos == 0) {
-      unreadSinceNanos = clock.nowNanos();
-    }
-  }
-
-  /** Called at the end of each read. */
-  private void updateUnreadInput() {
-    RecvByteBufAllocator.Handle reads = channel.unsafe().recvBufAllocHandle();
-    if (reads.lastBytesRead() >= reads.attemptedBytesRead()) {
-      mayHaveUnreadInput();
-    } else {
-      unreadSinceNanos = readingPaused ? clock.nowNanos() : 0;
-    }
-  }
-
   /** How long reading may be paused; the time of a client that has sent everything runs on. */
   private long maxPauseNanos() {
     return Math.min(UPSTREAM_STALL_TIMEOUT_NANOS, clientTimeoutNanos);
@@ -567,8 +561,21 @@
     phase = Phase.REQUEST_COMPLETE;
   }
 
-  /** Dispatches a completely received request, unless too much was pipelined behind it. */
+  /**
+   * Dispatches a completely received request, unless too much was pipelined behind it or its client
+   * has left. Both may show only in what has not been read yet.
+   */
   private void acceptRequest() {
+    if (!accepting) {
+      accepting = true;
+      if (isStillWaiting()) {
+        acceptFromWaitingClient();
+      }
+      accepting = false;
+    }
+  }
+
+  private void acceptFromWaitingClient() {
     if (pipelined.hasOverflowed()) {
       reject(HttpResponseStatus.BAD_REQUEST, "more than one request at a time");
       return;
@@ -672,6 +679,8 @@
   public void answerStarted(HttpResponse upstreamHead, StreamedAnswerSource source) {
     ticket = null;
     answerSource = source;
+    listener.pool().streamMemory.streamStarted();
+    channel.config().setWriteBufferWaterMark(listener.pool().streamMemory.waterMark());
     HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
     HeaderRules.copyEndToEndHeaders(upstreamHead.headers(), response.headers());
     long contentLength = HttpUtil.getContentLength(upstreamHead, -1L);
@@ -703,7 +712,7 @@
 
   @Override
   public void answerEnd() {
-    answerSource = null;
+    endStream();
     finishAnswer(
         streamedAnswerKeepAlive && keepAlive,
         channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
@@ -711,11 +720,18 @@
 
   @Override
   public void answerAborted() {
-    answerSource = null;
+    endStream();
     channel.config().setOption(ChannelOption.SO_LINGER, 0);
     channel.close();
   }
 
+  private void endStream() {
+    if (answerSource != null) {
+      answerSource = null;
+      listener.pool().streamMemory.streamEnded();
+    }
+  }
+
   private void recordWriteProgress() {
     if (answerSource != null) {
       timerStartNanos = clock.nowNanos();
@@ -812,7 +828,7 @@
     written.addListener(
         done -> {
           if (channel instanceof SocketChannel socket) {
-            channel.config().setAutoRead(true);
+            input.resumeAll();
             socket.shutdownOutput();
           }
         });
@@ -834,9 +850,12 @@
         acceptRequest();
       }
     }
+    if (phase == Phase.STREAMING_BODY) {
+      streamedBody.forwardReceived();
+    }
     replayingPipeline = false;
     if (pipelined.isEmpty()) {
-      channel.config().setAutoRead(true);
+      input.resume(SocketInput.Pause.OVERFLOW);
     }
   }
 
@@ -850,6 +869,7 @@
     discardRequest();
     pipelined.release();
     startLingering();
+    updateBodyMemory();
     halfCloseAfter(channel.writeAndFlush(response));
   }
 
@@ -862,7 +882,7 @@
 
   /** Whether the large head of the current request does not fit beside those of open requests. */
   private boolean lacksHeadMemory() {
-    return headBytes > HeadMemoryBudget.UNCOUNTED_BYTES && listener.headMemory.isExceeded();
+    return headBytes > MemoryBudget.UNCOUNTED_BYTES && listener.headMemory.isExceeded();
   }
 
   /** Answers a request of which nothing has been forwarded; a retry is safe. */
@@ -870,8 +890,13 @@
     reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "refused");
   }
 
+  private void updateBodyMemory() {
+    boolean unreserved = phase == Phase.READING_BODY && reservedBytes == 0;
+    listener.bodyMemory.update(bodyHolder, unreserved ? bodyBytes : 0);
+  }
+
   @Override
-  public boolean canReleaseHeads() {
+  public boolean canReleaseMemory() {
     return switch (phase) {
       case IDLE, READING_BODY, STREAMING_BODY -> true;
       case AWAITING_ANSWER ->
@@ -881,7 +906,7 @@
   }
 
   @Override
-  public void releaseHeads() {
+  public void releaseMemory() {
     switch (phase) {
       case IDLE, READING_BODY -> refuseUnread();
       case STREAMING_BODY -> refuseUpload();
@@ -900,9 +925,9 @@
 
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
-    decoding = false;
+    input.readCompleted();
     if (phase == Phase.STREAMING_BODY) {
-      updateUnreadInput();
+      streamedBody.forwardReceived();
     }
     if (lastBodyPiece != null) {
       forwardLastBodyPiece();
@@ -916,6 +941,7 @@
       listener.becameBusy(this);
     }
     updateHeadMemory();
+    updateBodyMemory();
   }
 
   @Override
@@ -928,13 +954,14 @@
     discardRequest();
     pipelined.release();
     startLingering();
+    updateBodyMemory();
     if (lastBodyPiece != null) {
       lastBodyPiece.release();
       lastBodyPiece = null;
     }
     if (answerSource != null) {
       StreamedAnswerSource source = answerSource;
-      answerSource = null;
+      endStream();
       source.clientDisconnected();
     }
     if (ticket != null) {
@@ -996,8 +1023,8 @@
   }
 
   private boolean isBetweenRequests() {
-    if (phase == Phase.IDLE && channel.isActive()) {
-      ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+    if (phase == Phase.IDLE) {
+      input.readOnce();
     }
     return (phase == Phase.IDLE || phase == Phase.LINGERING) && headStartedNanos == 0;
   }
@@ -1037,7 +1064,7 @@
       }
       case STREAMING_BODY -> {
         if (!readingPaused && now - Math.max(resumedNanos, lastPieceNanos) > BACKLOG_READ_NANOS) {
-          unreadSinceNanos = 0; // Otherwise something would have been read.
+          input.noteSilence(); // Otherwise something would have been read.
         }
         if (!readingPaused && isBodyTooSlow(now)) {
           channel.close(); // Without its last byte the request never runs.
--- a/src/main/java/heathswitch/proxy/http1/ClientListener.java
+++ b/src/main/java/heathswitch/proxy/http1/ClientListener.java
@@ -11,7 +11,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
@@ -34,6 +33,9 @@
 
   private static final long TICK_MILLIS = 200;
 
+  /** Longest read from a client at once. */
+  private static final int READ_BYTES = 32 << 10;
+
   /**
    * How long a drain or a shutdown waits for the first request on a new connection. If a connection
    * that already carried an answer is closed while a request is in flight, the client sends that
@@ -44,7 +46,9 @@
   private final EventLoop loop;
   private final Clock clock;
   final ResourceBudget budget;
-  final HeadMemoryBudget headMemory = new HeadMemoryBudget();
+  final MemoryBudget headMemory = new MemoryBudget(MemoryBudget.HEAD_BYTES);
+  final MemoryBudget bodyMemory = new MemoryBudget(MemoryBudget.BODY_BYTES);
+  final DecodingThrottle decodingThrottle = new DecodingThrottle();
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
 
   /** Longest idle first. */
@@ -97,8 +101,7 @@
         Listeners.bootstrap(loop, this::onAccepted)
             .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
             .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-            .childOption(
-                ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(16384, 65536));
+            .childOption(ChannelOption.RCVBUF_ALLOCATOR, new ShortReadAllocator(() -> READ_BYTES));
     if (reusePort) {
       bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
     }
--- a/src/main/java/heathswitch/proxy/http1/HeadMemoryBudget.java
+++ b/src/main/java/heathswitch/proxy/http1/MemoryBudget.java
@@ -4,34 +4,42 @@
 import java.util.Map;
 
 /**
- * Limits the heap that the heads of messages occupy on all connections together. When the limit is
- * exceeded, the connection with the largest heads gives up those that nothing depends on yet, such
- * as a head that has not been received completely.
+ * Limits the memory that one kind of content, such as the heads of messages, occupies on all
+ * connections together. When the limit is exceeded, the connection with the most gives up what
+ * nothing depends on yet, such as a head that has not been received completely.
  */
-final class HeadMemoryBudget {
-  /** Limit of the counted bytes of all connections. */
-  static final long MAX_BYTES = 5L << 20;
+final class MemoryBudget {
+  /** Limit for the heap of heads. */
+  static final long HEAD_BYTES = 5L << 20;
 
-  /**
-   * Connections with smaller heads than this are not counted; the number of connections is low
-   * enough for that.
-   */
+  /** Limit for bodies that are being received and have reserved no memory. */
+  static final long BODY_BYTES = 10L << 20;
+
+  /** Limit for answers that are buffered. */
+  static final long ANSWER_BYTES = 8L << 20;
+
+  /** Connections with less than this are not counted; their number is low enough for that. */
   static final long UNCOUNTED_BYTES = 8 << 10;
 
   /** A connection whose heads are counted. */
   interface Holder {
-    /** Whether it has heads that it can give up without losing a request that it has accepted. */
-    boolean canReleaseHeads();
+    /** Whether it can give up memory without losing a request that it has accepted. */
+    boolean canReleaseMemory();
 
-    /** Gives up such heads. */
-    void releaseHeads();
+    /** Gives up that memory. */
+    void releaseMemory();
   }
 
+  private final long maxBytes;
   private final Map<Holder, Long> bytesByHolder = new LinkedHashMap<>();
   private long usedBytes;
   private boolean releasing;
 
-  /** Sets the bytes of the heads that a connection holds, and enforces the limit. */
+  MemoryBudget(long maxBytes) {
+    this.maxBytes = maxBytes;
+  }
+
+  /** Sets the bytes that a connection holds, and enforces the limit. */
   void update(Holder holder, long bytes) {
     Long previous =
         bytes > UNCOUNTED_BYTES ? bytesByHolder.put(holder, bytes) : bytesByHolder.remove(holder);
@@ -43,7 +51,7 @@
 
   /** Whether the limit is exceeded although everything that can be released has been. */
   boolean isExceeded() {
-    return usedBytes > MAX_BYTES;
+    return usedBytes > maxBytes;
   }
 
   long usedBytes() {
@@ -56,7 +64,7 @@
       for (Holder largest = largestReleasable();
           isExceeded() && largest != null;
           largest = largestReleasable()) {
-        largest.releaseHeads();
+        largest.releaseMemory();
         update(largest, 0);
       }
     } finally {
@@ -68,7 +76,7 @@
     Holder largest = null;
     long largestBytes = 0;
     for (Map.Entry<Holder, Long> entry : bytesByHolder.entrySet()) {
-      if (entry.getValue() > largestBytes && entry.getKey().canReleaseHeads()) {
+      if (entry.getValue() > largestBytes && entry.getKey().canReleaseMemory()) {
         largest = entry.getKey();
         largestBytes = entry.getValue();
       }
--- a/src/main/java/heathswitch/proxy/http1/StreamedRequestBody.java
+++ b/src/main/java/heathswitch/proxy/http1/StreamedRequestBody.java
@@ -16,6 +16,7 @@
   private final ResourceBudget budget;
   private final long length;
   private final ArrayDeque<ByteBuf> pending = new ArrayDeque<>();
+  private final PieceCollector collector;
 
   /** Received before the request was accepted; null once more than the prefix has been sent. */
   private ByteBuf prefix;
@@ -37,6 +38,7 @@
       long length,
       ByteBuf prefix,
       long prefixReservation) {
+    this.collector = new PieceCollector(prefix.alloc());
     this.client = client;
     this.budget = budget;
     this.length = length;
@@ -58,13 +60,29 @@
     return prefix != null && !released;
   }
 
-  /** Adds a received piece and takes ownership of it. */
-  void append(ByteBuf piece, boolean last) {
+  /** Adds a received piece; the caller keeps its ownership. */
+  void append(ByteBuf piece) {
+    if (!released) {
+      collector.add(piece, pending::add);
+    }
+  }
+
+  /** Sends what has been received, at the end of each read. */
+  void forwardReceived() {
+    if (!released) {
+      collector.flush(pending::add);
+      forward();
+    }
+  }
+
+  /** Adds the last piece and takes ownership of it; sends what has been received. */
+  void appendLast(ByteBuf piece) {
     if (released) {
       piece.release();
       return;
     }
-    complete |= last;
+    collector.flush(pending::add);
+    complete = true;
     pending.add(piece);
     forward();
   }
@@ -123,6 +141,7 @@
     if (!released) {
       released = true;
       releasePrefix();
+      collector.release();
       while (!pending.isEmpty()) {
         pending.poll().release();
       }
--- a/src/main/java/heathswitch/proxy/http1/UpstreamConnection.java
+++ b/src/main/java/heathswitch/proxy/http1/UpstreamConnection.java
@@ -10,13 +10,11 @@
 import heathswitch.proxy.spi.Attempt;
 import heathswitch.proxy.spi.Upstream;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
-import io.netty.buffer.Unpooled;
+import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -35,7 +33,7 @@
  * counts as complete only if all of it was received.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter
-    implements Attempt.Exchange, StreamedAnswerSource, HeadMemoryBudget.Holder {
+    implements Attempt.Exchange, StreamedAnswerSource, MemoryBudget.Holder {
   /**
    * A longer answer is treated as invalid, or aborted if it was already being streamed without a
    * declared length. Upstreams send up to 32 MB.
@@ -106,6 +104,7 @@
   private final Clock clock;
   final StrictResponseDecoder decoder = new StrictResponseDecoder();
   private Channel channel;
+  private SocketInput input;
   private Attempt attempt;
   private HttpPayload payload;
   private Phase phase = Phase.IDLE;
@@ -115,7 +114,8 @@
   private boolean reusable;
   private boolean closed;
   private HttpResponse head;
-  private CompositeByteBuf buffered;
+  private BodyBuffer buffered;
+  private final PieceCollector collector = new PieceCollector(PooledByteBufAllocator.DEFAULT);
   private int discardedBytes;
   private boolean hadExchange;
   private long idleSinceNanos;
@@ -131,7 +131,20 @@
   private long answerStartedNanos;
   private long streamedBytes;
   private StreamedAnswerSink sink;
-  private boolean paused;
+
+  /** Represents the buffered answer in the budget for answers: it is streamed to give up memory. */
+  private final MemoryBudget.Holder bufferHolder =
+      new MemoryBudget.Holder() {
+        @Override
+        public boolean canReleaseMemory() {
+          return attempt != null && phase == Phase.BUFFERING;
+        }
+
+        @Override
+        public void releaseMemory() {
+          streamNow();
+        }
+      };
 
   public UpstreamConnection(UpstreamConnectionPool pool, Clock clock, Upstream upstream) {
     this.pool = pool;
@@ -144,6 +157,7 @@
       ChannelFuture connectFuture, Attempt firstAttempt, HttpPayload requestPayload) {
     payload = requestPayload;
     channel = connectFuture.channel();
+    input = new SocketInput(channel, clock, pool.decodingThrottle);
     attempt = firstAttempt;
     firstAttempt.attach(this);
     phase = Phase.AWAITING_HEAD;
@@ -270,9 +284,10 @@
 
   @Override
   public void setPaused(boolean pause) {
-    if (phase == Phase.STREAMING && paused != pause) {
-      paused = pause;
-      channel.config().setAutoRead(!pause);
+    if (pause && phase == Phase.STREAMING) {
+      input.pause(SocketInput.Pause.BACKPRESSURE);
+    } else {
+      input.resume(SocketInput.Pause.BACKPRESSURE);
     }
   }
 
@@ -284,6 +299,12 @@
     }
   }
 
+  private void streamNow() {
+    if (startStreaming()) {
+      sink.answerFlush();
+    }
+  }
+
   /** Returns false, with the connection closed, if no client waits for the answer any more. */
   private boolean startStreaming() {
     Attempt current = attempt;
@@ -295,16 +316,16 @@
     attempt = null;
     cancelAnswerTimers();
     phase = Phase.STREAMING;
-    streamedBytes = buffered.readableBytes();
     sink = payload.sink();
     sink.answerStarted(head, this);
     head = null;
-    if (buffered.isReadable()) {
-      sink.answerData(buffered);
+    ByteBuf begun = takeBuffered();
+    streamedBytes = begun.readableBytes();
+    if (begun.isReadable()) {
+      sink.answerData(begun);
     } else {
-      buffered.release();
+      begun.release();
     }
-    buffered = null;
     // The upstream has done its work and its slot is free; the rest depends on the transfer only.
     current.complete(Outcome.OK, null);
     watchStreamForStall();
@@ -317,9 +338,7 @@
       failInvalidAnswer("answer too long");
       return;
     }
-    if (content.content().isReadable()) {
-      sink.answerData(retainOrCopy(content.content()));
-    }
+    collector.add(content.content(), sink::answerData);
     if (last) {
       phase = Phase.STREAMED;
     }
@@ -333,7 +352,7 @@
     if (phase != Phase.STREAMING) {
       return;
     }
-    if (!paused && !receivedBytes) {
+    if (!receivedBytes && !input.isPaused()) {
       failInvalidAnswer("streamed answer stalled");
     } else {
       watchStreamForStall();
@@ -348,6 +367,7 @@
         return;
       }
       HttpObject part = (HttpObject) message;
+      input.partRead(part);
       if (phase == Phase.COMPLETE || phase == Phase.STREAMED) {
         onExcessBytes(); // The complete answer stays valid.
       } else if (part.decoderResult().isFailure()) {
@@ -428,7 +448,7 @@
     reusable = HttpUtil.isKeepAlive(response) && hasDefinedEnd(response);
     phase = Phase.BUFFERING;
     answerStartedNanos = clock.nowNanos();
-    buffered = channel.alloc().compositeBuffer(1024);
+    buffered = new BodyBuffer(channel.alloc(), HttpUtil.getContentLength(response, -1L));
     if (mayBeLong()) {
       streamBeforeDeadline(attempt, STREAMING_MARGIN_MILLIS);
     }
@@ -458,8 +478,8 @@
     }
     if (stalled && marginMillis > STALLED_STREAMING_MARGIN_MILLIS) {
       streamBeforeDeadline(current, STALLED_STREAMING_MARGIN_MILLIS);
-    } else if (startStreaming()) {
-      sink.answerFlush();
+    } else {
+      streamNow();
     }
   }
 
@@ -501,12 +521,11 @@
   }
 
   private void buffer(HttpContent content, boolean last) {
-    if (content.content().isReadable()) {
-      buffered.addComponent(true, retainOrCopy(content.content()));
-    }
+    buffered.append(content.content());
+    int received = buffered.readableBytes();
     boolean mustStream =
-        buffered.readableBytes() > MAX_BUFFERED_BYTES
-            || HttpUtil.getContentLength(head, 0L) > MAX_BUFFERED_BYTES && buffered.isReadable();
+        received > MAX_BUFFERED_BYTES
+            || HttpUtil.getContentLength(head, 0L) > MAX_BUFFERED_BYTES && received > 0;
     if (mustStream && !startStreaming()) {
       return;
     }
@@ -515,11 +534,6 @@
     }
   }
 
-  /** Copies a short piece, because retaining it would keep the whole read buffer alive. */
-  private ByteBuf retainOrCopy(ByteBuf piece) {
-    return piece.readableBytes() < 1024 ? Unpooled.copiedBuffer(piece) : piece.retain();
-  }
-
   /**
    * Reports a complete answer and releases the connection. This waits for the end of the read,
    * because a second answer in the same read would otherwise be taken for the answer to the next
@@ -527,6 +541,7 @@
    */
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
+    input.readCompleted();
     if (closed) {
       return;
     }
@@ -539,9 +554,11 @@
       watchForStall();
     }
     if (phase == Phase.STREAMING) {
+      collector.flush(sink::answerData);
       sink.answerFlush();
     } else if (phase == Phase.STREAMED) {
       checkUnparsedBytes();
+      collector.flush(sink::answerData);
       StreamedAnswerSink currentSink = sink;
       sink = null;
       finishExchange();
@@ -550,8 +567,7 @@
     }
     if (phase == Phase.COMPLETE) {
       checkUnparsedBytes();
-      ByteBuf body = buffered;
-      buffered = null;
+      ByteBuf body = takeBuffered();
       HttpResponse answerHead = head;
       Attempt served = attempt;
       attempt = null;
@@ -561,21 +577,32 @@
       }
       return;
     }
-    updateHeadMemory();
+    updateMemory();
   }
 
-  private void updateHeadMemory() {
+  private ByteBuf takeBuffered() {
+    ByteBuf bytes = buffered.takeBuffer();
+    buffered = null;
+    return bytes;
+  }
+
+  private void updateMemory() {
     long answered = head == null ? 0 : SizedHttpHeaders.heapBytesOf(head);
     pool.headMemory.update(this, answered + decoder.unfinishedHeadBytes());
+    pool.answerMemory.update(bufferHolder, buffered == null ? 0 : buffered.readableBytes());
   }
 
   @Override
-  public boolean canReleaseHeads() {
+  public boolean canReleaseMemory() {
     return !closed && phase != Phase.COMPLETE && phase != Phase.STREAMED;
   }
 
   @Override
-  public void releaseHeads() {
+  public void releaseMemory() {
+    if (attempt != null && phase == Phase.BUFFERING) {
+      streamNow();
+      return;
+    }
     failInvalidAnswer("large head while memory for heads is exhausted");
   }
 
@@ -622,15 +649,13 @@
     if (attempt != watched || phase == Phase.COMPLETE) {
       return;
     }
-    if (!receivedBytes) {
+    if (!receivedBytes && !input.isPaused()) {
       stalled = true;
       attempt.answerStalled(mayBeLong());
     } else if (phase == Phase.BUFFERING
-        && buffered.isReadable()
+        && buffered.readableBytes() > 0
         && clock.nowNanos() - answerStartedNanos >= MAX_BUFFERING_MILLIS * 1_000_000L) {
-      if (startStreaming()) {
-        sink.answerFlush();
-      }
+      streamNow();
     } else {
       watchForStall();
     }
@@ -648,18 +673,22 @@
     }
   }
 
+  private void releaseBudgets() {
+    pool.headMemory.update(this, 0);
+    pool.answerMemory.update(bufferHolder, 0);
+  }
+
   /** Returns the connection to the pool, unless one of the sides wants it closed. */
   private void finishExchange() {
     cancelAnswerTimers();
     head = null;
-    pool.headMemory.update(this, 0);
+    releaseBudgets();
     readsAtStart = decoder.readCount();
     if (reusable && channel.isActive()) {
       phase = Phase.IDLE;
       payload = null;
-      paused = false;
       idleSinceNanos = clock.nowNanos();
-      channel.config().setAutoRead(true);
+      input.resume(SocketInput.Pause.BACKPRESSURE);
       pool.release(this);
     } else {
       close();
@@ -742,7 +771,8 @@
       openSink.answerAborted();
     }
     pool.remove(this);
-    pool.headMemory.update(this, 0);
+    releaseBudgets();
+    collector.release();
     if (buffered != null) {
       buffered.release();
       buffered = null;
@@ -761,7 +791,7 @@
     if (idleSinceNanos < oldestIdleNanos || !channel.isActive()) {
       return false;
     }
-    ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+    input.readOnce();
     return !closed && channel.isActive();
   }
 
--- a/src/main/java/heathswitch/proxy/http1/UpstreamConnectionPool.java
+++ b/src/main/java/heathswitch/proxy/http1/UpstreamConnectionPool.java
@@ -58,7 +58,10 @@
 
   private final Clock clock;
   final ResourceBudget budget;
-  final HeadMemoryBudget headMemory = new HeadMemoryBudget();
+  final MemoryBudget headMemory = new MemoryBudget(MemoryBudget.HEAD_BYTES);
+  final StreamMemory streamMemory = new StreamMemory();
+  final DecodingThrottle decodingThrottle = new DecodingThrottle();
+  final MemoryBudget answerMemory = new MemoryBudget(MemoryBudget.ANSWER_BYTES);
   private long keepAliveNanos;
   private final BooleanSupplier evictClient;
   private final Bootstrap bootstrap;
@@ -86,7 +89,10 @@
         new Bootstrap()
             .group(loop)
             .channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true);
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(
+                ChannelOption.RCVBUF_ALLOCATOR,
+                new ShortReadAllocator(streamMemory::bytesPerStream));
     reload(limits);
   }
 
