Reproduce ids that run twice after their client has left, on real processes

Shown: an unsafe id that comes again after its client has left runs again; so does one that comes to the other process of an upgrade.

--- a/src/main/java/heathswitch/testbed/platform/PlatformBalancer.java
+++ b/src/main/java/heathswitch/testbed/platform/PlatformBalancer.java
@@ -33,7 +33,9 @@
 
   private final String name;
   private final Path folder;
-  private final InetSocketAddress listen = BalancerProcess.freeAddress();
+  private final InetSocketAddress listen;
+  private final InetSocketAddress console = BalancerProcess.freeAddress();
+  private final Path temporaryFolder;
   private final Map<String, String> environment = new HashMap<>();
   private Map<String, Object> config = Map.of();
 
@@ -47,6 +49,21 @@
   PlatformBalancer(String name) throws IOException {
     this.name = name;
     this.folder = Files.createTempDirectory("heathswitch-platform-");
+    this.temporaryFolder = Files.createDirectories(folder.resolve("tmp"));
+    this.listen = BalancerProcess.freeAddress();
+  }
+
+  /** Creates the next process of a balancer, for an upgrade while the previous one serves. */
+  PlatformBalancer(PlatformBalancer previous) throws IOException {
+    this.name = previous.name;
+    this.folder = Files.createTempDirectory("heathswitch-platform-");
+    this.temporaryFolder = previous.temporaryFolder;
+    this.listen = previous.listen;
+  }
+
+  /** The address of the operations API of this process. */
+  InetSocketAddress console() {
+    return console;
   }
 
   public String name() {
@@ -115,7 +132,7 @@
     command.addAll(List.of("-cp", CLASS_PATH, "heathswitch.proxy.Main", "serve"));
     ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
     builder.environment().put("EDGE_CONFIG", configFile().toString());
-    builder.environment().put("TMPDIR", Files.createDirectories(folder.resolve("tmp")).toString());
+    builder.environment().put("TMPDIR", temporaryFolder.toString());
     builder.environment().putAll(environment);
     long began = System.nanoTime();
     process = builder.redirectOutput(log().toFile()).start();
@@ -134,8 +151,10 @@
   }
 
   private boolean ready() {
+    boolean hasConsole = config.containsKey("console");
+    int port = hasConsole ? console.getPort() : listen.getPort();
     try {
-      URL url = new URL("http", "127.0.0.1", listen.getPort(), "/up");
+      URL url = new URL("http", "127.0.0.1", port, hasConsole ? "/v1/readyz" : "/up");
       HttpURLConnection connection = (HttpURLConnection) url.openConnection();
       connection.setConnectTimeout(PROBE_TIMEOUT_MILLIS);
       connection.setReadTimeout(PROBE_TIMEOUT_MILLIS);
--- a/src/main/java/heathswitch/testbed/platform/PlatformFleet.java
+++ b/src/main/java/heathswitch/testbed/platform/PlatformFleet.java
@@ -35,6 +35,7 @@
   private final PlatformSettings settings;
   private long seed;
   private int serverCount;
+  private boolean operations;
 
   /** Creates a fleet without processes; the seed determines service times and loads. */
   public PlatformFleet(long seed, PlatformSettings settings, ServerProfile shape) {
@@ -114,6 +115,18 @@
     return balancer;
   }
 
+  /** Adds the next process of a balancer that has the operations API, without starting it. */
+  public PlatformBalancer addSuccessor(PlatformBalancer previous) throws IOException {
+    PlatformBalancer successor = new PlatformBalancer(previous);
+    balancers.add(successor);
+    return successor;
+  }
+
+  /** Gives the balancers that are started from now on the operations API. */
+  public void enableOperations() {
+    operations = true;
+  }
+
   /**
    * Starts the process of a balancer that isn't running.
    *
@@ -137,6 +150,9 @@
     Map<String, Object> config = new LinkedHashMap<>();
     config.put("name", balancer.name());
     config.put("listen", "127.0.0.1:" + balancer.listen().getPort());
+    if (operations) {
+      config.put("console", "127.0.0.1:" + balancer.console().getPort());
+    }
     config.put("discovery", "127.0.0.1:" + endpoint.getPort());
     config.put("seed", String.format("%016x", seed++));
     config.put("limits", Map.of("sockets", settings.sockets(), "memory_mb", 192));
