Let no id take effect twice after its client has left, or at two processes

Cause: an id was known only while its request was open, and only to its own process. An id that is found is answered 400 as that of an open request is. A folder that cannot be written leaves each process its own table.

--- a/src/main/java/heathswitch/proxy/dispatch/Dispatcher.java
+++ b/src/main/java/heathswitch/proxy/dispatch/Dispatcher.java
@@ -69,6 +69,9 @@
   /** The client-supplied ids of the requests that have not been answered. */
   private final Set<String> openRequestNames = new HashSet<>();
 
+  /** The ids of requests that may have had an effect, at any process of this balancer. */
+  private UsedRequestIds usedRequestIds = UsedRequestIds.unshared();
+
   private final Map<String, Upstream> upstreams = new HashMap<>();
   private final Map<Long, Upstream> upstreamsById = new HashMap<>();
   private final ArrayDeque<Runnable> pendingEvents = new ArrayDeque<>();
@@ -120,6 +123,11 @@
     overflowRouter = router;
   }
 
+  /** Sets the table of used ids that the processes share. To be called before the start. */
+  public void setUsedRequestIds(UsedRequestIds shared) {
+    usedRequestIds = shared;
+  }
+
   private void closeIdle(Upstream upstream) {
     transports.forEach(transport -> transport.closeIdle(upstream));
   }
@@ -157,14 +165,20 @@
     return name == null ? null : classes.get(name);
   }
 
-  /**
-   * Whether a request with this id is waiting for its answer. Ids are unique, so a second request
-   * with the same id is a client error or a forgery, and an upstream could not tell the two apart.
-   */
+  /** Whether a request with this id is waiting for its answer. */
   public boolean isRequestOpen(String name) {
     return openRequestNames.contains(name);
   }
 
+  /**
+   * Whether a request with this id is waiting for its answer, or may have had an effect. Ids are
+   * unique, so a second request with the same id is a client error or a forgery, and an upstream
+   * could not tell the two apart.
+   */
+  public boolean isIdUsed(String name) {
+    return isRequestOpen(name) || usedRequestIds.contains(name);
+  }
+
   /** The state of the decision module as text. */
   public String figures() {
     return balancer.summary(clock.nowNanos());
@@ -525,7 +539,8 @@
     request.openAttempts++;
     request.overflowAttempts++;
     site.inFlight++;
-    if (!overflowRouter.start(attempt, request.requestClass, request.payload)) {
+    if (!claimId(request)
+        || !overflowRouter.start(attempt, request.requestClass, request.payload)) {
       complete(attempt, Outcome.MOOT, null);
     }
     return true;
@@ -574,6 +589,9 @@
 
   private void removeIfFinished(LiveRequest request) {
     if (request.isFinished() && requests.remove(request.id) != null) {
+      if (request.idClaimed && request.neverRan) {
+        usedRequestIds.release(request.name);
+      }
       request.release();
     }
   }
@@ -703,6 +721,7 @@
         || now >= request.deadlineNanos
         || attempt.number >= request.maxAttempts
         || !request.payload.isRepeatable()
+        || !claimId(request)
         || !maySend(attempt)
         || !request.payload.start(attempt)) {
       upstream.inFlight++; // Decremented with the outcome, as for every attempt.
@@ -715,6 +734,15 @@
     }
   }
 
+  /** Claims the id of a request that may take effect, before its first attempt. */
+  private boolean claimId(LiveRequest request) {
+    if (!request.idClaimed && !isSafe(request)) {
+      request.idClaimed = usedRequestIds.claim(request.name);
+      return request.idClaimed;
+    }
+    return true;
+  }
+
   @Override
   public void cancel(long requestId, int number) {
     LiveRequest request = requests.get(requestId);
--- a/src/main/java/heathswitch/proxy/dispatch/LiveRequest.java
+++ b/src/main/java/heathswitch/proxy/dispatch/LiveRequest.java
@@ -125,6 +125,9 @@
   /** Whether no attempt so far can have been executed. */
   boolean neverRan = true;
 
+  /** Whether its id has been claimed, so that it does not take effect twice. */
+  boolean idClaimed;
+
   /** The limit of the settings that were in force when the request was accepted. */
   int maxAttempts;
 
--- a/src/main/java/heathswitch/proxy/gateway/InboundCall.java
+++ b/src/main/java/heathswitch/proxy/gateway/InboundCall.java
@@ -176,7 +176,7 @@
     String requestId = site + ' ' + head.get(AsciiString.of(HeaderRules.REQUEST_ID).toLowerCase());
     if (leftNanos <= 0
         || inboundLinks.draining()
-        || inboundLinks.dispatcher().isRequestOpen(requestId)) {
+        || inboundLinks.dispatcher().isIdUsed(requestId)) {
       answer(SiteHeaders.Result.REFUSED);
       return;
     }
--- a/src/main/java/heathswitch/proxy/http1/ClientConnection.java
+++ b/src/main/java/heathswitch/proxy/http1/ClientConnection.java
@@ -362,7 +362,7 @@
       settingsReloads = dispatcher.reloadCount();
       return validateHead(head);
     }
-    boolean idInUse = dispatcher.isRequestOpen(head.headers().get(HeaderRules.REQUEST_ID));
+    boolean idInUse = dispatcher.isIdUsed(head.headers().get(HeaderRules.REQUEST_ID));
     return idInUse ? RequestHead.duplicateIdError() : null;
   }
 
--- a/src/main/java/heathswitch/proxy/http1/RequestHead.java
+++ b/src/main/java/heathswitch/proxy/http1/RequestHead.java
@@ -32,7 +32,7 @@
     if (ids.size() != 1 || !HeaderRules.isVisibleAscii(ids.get(0), MAX_ID_LENGTH)) {
       return invalid("one readable " + HeaderRules.REQUEST_ID + " expected");
     }
-    if (dispatcher.isRequestOpen(ids.get(0))) {
+    if (dispatcher.isIdUsed(ids.get(0))) {
       return invalid(duplicateIdError());
     }
     RequestClass requestClass = dispatcher.requestClass(head.headers().get(HeaderRules.CLASS));
@@ -58,7 +58,7 @@
   }
 
   static String duplicateIdError() {
-    return HeaderRules.REQUEST_ID + " of an open request";
+    return HeaderRules.REQUEST_ID + " of another request";
   }
 
   private static RequestHead invalid(String error) {
--- a/src/main/java/heathswitch/proxy/operations/OperationsService.java
+++ b/src/main/java/heathswitch/proxy/operations/OperationsService.java
@@ -3,6 +3,7 @@
 import static java.util.concurrent.TimeUnit.MILLISECONDS;
 
 import heathswitch.policy.rotation.Suspension;
+import heathswitch.proxy.dispatch.UsedRequestIds;
 import heathswitch.proxy.node.Node;
 import heathswitch.proxy.runtime.Log;
 import heathswitch.proxy.runtime.ResourceBudget;
@@ -59,6 +60,18 @@
     node.dispatcher().addOverlay(overlay);
     node.shutdown().setSuccessorCheck(generation::hasSuccessor);
     overlay.update(suspensions.read(node.nowMillis()), node.dispatcher());
+    if (folder != null) {
+      shareRequestIds(folder.resolve("request-ids"));
+    }
+  }
+
+  private void shareRequestIds(Path file) {
+    try {
+      node.dispatcher().setUsedRequestIds(UsedRequestIds.shared(file));
+    } catch (IOException e) {
+      Log.warn(
+          "upgrade", "ids of requests are not shared: another process may run them again: " + e);
+    }
   }
 
   /** Whether another process was serving this balancer when this one started. */
