--- a/src/main/java/heathswitch/testbed/platform/PlatformFleet.java
+++ b/src/main/java/heathswitch/testbed/platform/PlatformFleet.java
@@ -66,6 +66,11 @@
     return id;
   }
 
+  /** Lists a server at this address and with this time of its last start. */
+  public void move(String id, InetSocketAddress address, long startedMillis) {
+    discovery.publish(new ListedMember(id, address, ListedMember.Phase.IN_SERVICE, startedMillis));
+  }
+
   /** Marks a server as draining in discovery; the server continues to serve. */
   public void drain(String id) {
     discovery.publish(discovery.member(id).withPhase(ListedMember.Phase.TERMINATING));
--- a/src/test/java/heathswitch/testbed/platform/ScriptedServer.java
+++ b/src/test/java/heathswitch/testbed/platform/ScriptedServer.java
@@ -46,6 +46,10 @@
     return thread;
   }
 
+  InetSocketAddress address() {
+    return new InetSocketAddress("127.0.0.1", listener.getLocalPort());
+  }
+
   /** Its id in discovery's list. */
   String id() {
     return id;
