Use no connection that was made for an earlier address or start of a server

Cause: a change closed the connections that were idle then; those in use or being made went back to the pool of the server, whatever had its old address by then. Now each restart and change of address begins a new generation of the server. A connection of an earlier one carries no further request and is closed when it is given back; an attempt that waits for one counts as never sent and is decided anew. Cost: none but the new connections after a change.

--- a/src/main/java/heathswitch/proxy/dispatch/Dispatcher.java
+++ b/src/main/java/heathswitch/proxy/dispatch/Dispatcher.java
@@ -657,6 +657,9 @@
       upstream.address = entry.address();
       upstream.grpcAddress = entry.grpcAddress();
     }
+    if (addressChanged || restarted) {
+      upstream.generation++;
+    }
     upstream.startedMillis = entry.startedMillis();
     upstream.outOfService = entry.health() != Health.READY;
     upstream.removed = entry.health() == Health.GONE;
--- a/src/main/java/heathswitch/proxy/http1/UpstreamConnection.java
+++ b/src/main/java/heathswitch/proxy/http1/UpstreamConnection.java
@@ -100,6 +100,7 @@
   }
 
   final Upstream upstream;
+  private final int generation;
   private final UpstreamConnectionPool pool;
   private final Clock clock;
   final StrictResponseDecoder decoder = new StrictResponseDecoder();
@@ -150,6 +151,12 @@
     this.pool = pool;
     this.clock = clock;
     this.upstream = upstream;
+    this.generation = upstream.generation;
+  }
+
+  /** Whether the connection leads to the process that discovery lists now. */
+  boolean leadsToListedProcess() {
+    return generation == upstream.generation && !upstream.outOfService;
   }
 
   /** Called once for a new connection, with the attempt that it was opened for. */
@@ -219,7 +226,7 @@
     readsAtStart = decoder.readCount();
     sawInterimAnswer = false;
     Attempt current = attempt;
-    if (!current.maySend()) {
+    if (generation != upstream.generation || !current.maySend()) {
       endAttempt(Outcome.MOOT);
       close();
       return;
--- a/src/main/java/heathswitch/proxy/http1/UpstreamConnectionPool.java
+++ b/src/main/java/heathswitch/proxy/http1/UpstreamConnectionPool.java
@@ -116,7 +116,7 @@
 
   /** Keeps a dialing connection whose attempt has ended, for use by another attempt. */
   void addUnclaimed(UpstreamConnection connection) {
-    if (connection.upstream.outOfService || keepAliveNanos <= 0) {
+    if (!connection.leadsToListedProcess() || keepAliveNanos <= 0) {
       connection.close();
     } else {
       unclaimedDials.add(connection);
@@ -212,7 +212,7 @@
   /** Takes back a connection that can carry another exchange. */
   public void release(UpstreamConnection connection) {
     unclaimedDials.remove(connection);
-    if (connection.upstream.outOfService || keepAliveNanos <= 0) {
+    if (!connection.leadsToListedProcess() || keepAliveNanos <= 0) {
       connection.close();
     } else {
       idleByUpstream
--- a/src/main/java/heathswitch/proxy/spi/Upstream.java
+++ b/src/main/java/heathswitch/proxy/spi/Upstream.java
@@ -15,6 +15,12 @@
 
   public long startedMillis;
 
+  /**
+   * Grows with each restart and each change of address. Whatever has come about under an earlier
+   * value belongs to a process that may be gone.
+   */
+  public int generation;
+
   /** Draining or removed: connections to the upstream are not kept open. */
   public boolean outOfService;
 
--- a/src/test/java/heathswitch/testbed/platform/ReplacedServerTest.java
+++ b/src/test/java/heathswitch/testbed/platform/ReplacedServerTest.java
@@ -14,6 +14,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -30,6 +31,12 @@
   /** Until the balancer has applied a change of the list. */
   private static final long PROPAGATION_MILLIS = 300;
 
+  /** Until a balancer that has started watches discovery, which then tells changes at once. */
+  private static final long WATCH_MILLIS = 1500;
+
+  /** Less than the time that an attempt waits for its connection, 250 ms. */
+  private static final long CONNECTING_MILLIS = 100;
+
   /** When the system repeats a connection attempt that was not answered. */
   private static final long SYN_RETRY_MILLIS = 1000;
 
@@ -134,16 +141,14 @@
   void lateConnectionToAnOldAddressIsNotUsed() throws Exception {
     try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       InetSocketAddress address = new InetSocketAddress("127.0.0.1", full.getLocalPort());
-      List<Socket> fillers = new ArrayList<>();
-      for (int i = 0; i < 2; i++) {
-        fillers.add(new Socket(address.getAddress(), address.getPort()));
-      }
+      List<Socket> fillers = fillBacklog(address);
       String id = fleet.addServerAt(address);
-      fleet.startBalancers(1);
-      Socket first = send("/api/x", 0);
-      Thread.sleep(50);
       ScriptedServer replacement = startServer();
       fleet.drain(replacement.id());
+      fleet.startBalancers(1);
+      Thread.sleep(WATCH_MILLIS);
+      Socket first = send("/api/x", 0);
+      Thread.sleep(CONNECTING_MILLIS);
       fleet.move(id, replacement.address(), 0);
       Thread.sleep(PROPAGATION_MILLIS);
       List<Socket> accepted = Collections.synchronizedList(new ArrayList<>());
@@ -154,7 +159,8 @@
         assertEquals(200, statusOf(send("/api/x", i)));
       }
       for (Socket connection : accepted) {
-        assertEquals(0, connection.getInputStream().available(), "bytes at the old address");
+        int bytes = connection.getInputStream().available();
+        assertEquals("", new String(connection.getInputStream().readNBytes(bytes), US_ASCII));
         connection.close();
       }
       for (Socket filler : fillers) {
@@ -163,6 +169,21 @@
     }
   }
 
+  /** Connects until the listener's queue is full and connections are no longer answered. */
+  private static List<Socket> fillBacklog(InetSocketAddress address) throws IOException {
+    List<Socket> fillers = new ArrayList<>();
+    while (true) {
+      Socket filler = new Socket();
+      try {
+        filler.connect(address, (int) PROPAGATION_MILLIS);
+        fillers.add(filler);
+      } catch (SocketTimeoutException e) {
+        filler.close();
+        return fillers;
+      }
+    }
+  }
+
   private static void acceptAll(ServerSocket listener, List<Socket> accepted) {
     try {
       while (true) {
