Claim an id at the first byte of an attempt, not when the attempt is decided on

Need: an id whose only attempt was given up while its connection was being made counted as used for 60 s, though nothing had been sent; UpstreamConnectionRaceTest's later request was answered 400. Change: the claim is made where an attempt is checked right before its first byte.

--- a/src/main/java/heathswitch/proxy/dispatch/Dispatcher.java
+++ b/src/main/java/heathswitch/proxy/dispatch/Dispatcher.java
@@ -319,8 +319,7 @@
    * is checked last: a process that is suspended between this check and the write sends one request
    * when it resumes.
    */
-  @Override
-  public boolean maySend(LiveRequest.DispatchedAttempt attempt) {
+  private boolean maySend(LiveRequest.DispatchedAttempt attempt) {
     LiveRequest request = attempt.request;
     return attempt.open
         && !request.completed
@@ -331,6 +330,20 @@
         && (sendGate == null || sendGate.isOpen());
   }
 
+  @Override
+  public boolean mayWrite(LiveRequest.DispatchedAttempt attempt) {
+    return maySend(attempt) && claimId(attempt.request);
+  }
+
+  /** Claims the id of a request that may take effect, before the first byte of its attempts. */
+  private boolean claimId(LiveRequest request) {
+    if (!request.idClaimed && !isSafe(request)) {
+      request.idClaimed = usedRequestIds.claim(request.name);
+      return request.idClaimed;
+    }
+    return true;
+  }
+
   private void timeOutAttempt(LiveRequest.DispatchedAttempt attempt) {
     if (!attempt.open) {
       return;
@@ -724,7 +737,6 @@
         || now >= request.deadlineNanos
         || attempt.number >= request.maxAttempts
         || !request.payload.isRepeatable()
-        || !claimId(request)
         || !maySend(attempt)
         || !request.payload.start(attempt)) {
       upstream.inFlight++; // Decremented with the outcome, as for every attempt.
@@ -737,15 +749,6 @@
     }
   }
 
-  /** Claims the id of a request that may take effect, before its first attempt. */
-  private boolean claimId(LiveRequest request) {
-    if (!request.idClaimed && !isSafe(request)) {
-      request.idClaimed = usedRequestIds.claim(request.name);
-      return request.idClaimed;
-    }
-    return true;
-  }
-
   @Override
   public void cancel(long requestId, int number) {
     LiveRequest request = requests.get(requestId);
--- a/src/main/java/heathswitch/proxy/dispatch/LiveRequest.java
+++ b/src/main/java/heathswitch/proxy/dispatch/LiveRequest.java
@@ -20,7 +20,7 @@
 
     void complete(DispatchedAttempt attempt, Outcome outcome, Answer answer);
 
-    boolean maySend(DispatchedAttempt attempt);
+    boolean mayWrite(DispatchedAttempt attempt);
 
     void answerStalled(DispatchedAttempt attempt, boolean mayBeLong);
 
@@ -73,7 +73,7 @@
 
     @Override
     public boolean maySend() {
-      return listener.maySend(this);
+      return listener.mayWrite(this);
     }
 
     @Override
