--- a/src/main/java/heathswitch/proxy/http1/ClientConnection.java
+++ b/src/main/java/heathswitch/proxy/http1/ClientConnection.java
@@ -568,10 +568,13 @@
   private void acceptRequest() {
     if (!accepting) {
       accepting = true;
-      if (isStillWaiting()) {
-        acceptFromWaitingClient();
+      try {
+        if (isStillWaiting()) {
+          acceptFromWaitingClient();
+        }
+      } finally {
+        accepting = false;
       }
-      accepting = false;
     }
   }
 
--- a/src/test/java/heathswitch/proxy/platform/MalformedResponseTest.java
+++ b/src/test/java/heathswitch/proxy/platform/MalformedResponseTest.java
@@ -29,8 +29,7 @@
             StubServer.replying((connection, request) -> connection.send(answer));
         BalancerFixture fixture = new BalancerFixture().upstream(upstream).start();
         TestClient client = fixture.client()) {
-      assertEquals(
-          502, client.call(TestClient.post("publish", "X-Deadline: 3\r\n", "x")).status());
+      assertEquals(502, client.call(TestClient.post("publish", "X-Deadline: 3\r\n", "x")).status());
       assertEquals(1, upstream.requests.size(), "it may have run and must not run again");
     }
   }
