--- a/src/main/java/heathswitch/proxy/http1/ClientConnection.java
+++ b/src/main/java/heathswitch/proxy/http1/ClientConnection.java
@@ -57,8 +57,8 @@
   private static final int STREAMING_PREFIX_BYTES = 16 << 10;
 
   /**
-   * Bodies up to this size are read without a reservation in the budget; the number of connections
-   * is low enough for that.
+   * Bodies up to this size are read without a reservation; what the incomplete ones hold together
+   * is limited by {@link MemoryBudget#BODY_BYTES}.
    */
   static final int UNRESERVED_BODY_BYTES = 64 << 10;
 
--- a/src/main/java/heathswitch/testbed/platform/DiscoveryStub.java
+++ b/src/main/java/heathswitch/testbed/platform/DiscoveryStub.java
@@ -232,10 +232,16 @@
 
   // ---- balancers ----
 
-  /** Opens a new address for a balancer's calls and closes its former one. */
-  public InetSocketAddress openEndpoint(String balancer) throws InterruptedException {
+  /**
+   * Opens a new address for a balancer's calls and closes its former one.
+   *
+   * @param reloaded whether a running process is told of it; a new process starts with it, and the
+   *     time until a change counts as delivered after a reload does not apply
+   */
+  public InetSocketAddress openEndpoint(String balancer, boolean reloaded)
+      throws InterruptedException {
     Endpoint endpoint = run(() -> endpoints.computeIfAbsent(balancer, name -> new Endpoint()));
-    return endpoint.move();
+    return endpoint.move(reloaded);
   }
 
   /** Records that a balancer's process starts, with the list in its configuration. */
@@ -315,7 +321,7 @@
     private long calls;
     private long rejected;
 
-    InetSocketAddress move() throws InterruptedException {
+    InetSocketAddress move(boolean reloaded) throws InterruptedException {
       Channel next =
           Listeners.bootstrap(loop, this::initialize)
               .bind(new InetSocketAddress("127.0.0.1", 0))
@@ -324,7 +330,9 @@
       run(
           () -> {
             if (listener != null) {
-              history.endpointMoved(System.nanoTime());
+              if (reloaded) {
+                history.endpointMoved(System.nanoTime());
+              }
               listener.close();
               resetWatches();
             }
--- a/src/main/java/heathswitch/testbed/platform/PlatformFleet.java
+++ b/src/main/java/heathswitch/testbed/platform/PlatformFleet.java
@@ -138,20 +138,21 @@
    * @return the time until it was ready, in milliseconds
    */
   public long start(PlatformBalancer balancer) throws IOException, InterruptedException {
-    configure(balancer);
+    configure(balancer, false);
     discovery.balancerStarted(balancer.name());
     return balancer.start();
   }
 
   /** Reloads a balancer with a configuration that names another port for discovery. */
   public void reconfigure(PlatformBalancer balancer) throws IOException, InterruptedException {
-    configure(balancer);
+    configure(balancer, true);
     balancer.signal("HUP");
   }
 
   /** Writes a new configuration, without the signal to reload it. */
-  void configure(PlatformBalancer balancer) throws IOException, InterruptedException {
-    InetSocketAddress endpoint = discovery.openEndpoint(balancer.name());
+  private void configure(PlatformBalancer balancer, boolean reloaded)
+      throws IOException, InterruptedException {
+    InetSocketAddress endpoint = discovery.openEndpoint(balancer.name(), reloaded);
     Map<String, Object> config = new LinkedHashMap<>();
     config.put("name", balancer.name());
     config.put("listen", "127.0.0.1:" + balancer.listen().getPort());
