Refuse a long request when its client's time is over, not at the next tick

Cause: times of uploads are looked at each 200 ms; the rest, some 0.4 s, is inferred to be the late start of the loop of a process that had just begun. The test prints the logs of both processes.

--- a/src/main/java/heathswitch/proxy/http1/ClientConnection.java
+++ b/src/main/java/heathswitch/proxy/http1/ClientConnection.java
@@ -1,6 +1,7 @@
 package heathswitch.proxy.http1;
 
 import static java.nio.charset.StandardCharsets.US_ASCII;
+import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
 import heathswitch.policy.api.RequestClass;
 import heathswitch.policy.api.RequestProtocol;
@@ -1047,6 +1048,10 @@
         || now - timerStartNanos > BODY_TIMEOUT_NANOS + slowestTransferNanos(bodyBytes);
   }
 
+  private void tickAgainAfter(long nanos) {
+    channel.eventLoop().schedule(() -> tick(clock.nowNanos()), nanos, NANOSECONDS);
+  }
+
   /** Enforces the time limits; called periodically. */
   public void tick(long now) {
     long age = now - timerStartNanos;
@@ -1069,11 +1074,13 @@
         if (!readingPaused && now - Math.max(resumedNanos, lastPieceNanos) > BACKLOG_READ_NANOS) {
           input.noteSilence(); // Otherwise something would have been read.
         }
+        long remainingNanos = remainingClientNanos();
         if (!readingPaused && isBodyTooSlow(now)) {
           channel.close(); // Without its last byte the request never runs.
-        } else if (remainingClientNanos() == 0
-            || (readingPaused && now - pausedNanos > maxPauseNanos())) {
+        } else if (remainingNanos == 0 || (readingPaused && now - pausedNanos > maxPauseNanos())) {
           refuseUpload();
+        } else if (remainingNanos < ClientListener.TICK_NANOS) {
+          tickAgainAfter(remainingNanos); // The next regular tick would be too late.
         }
       }
       case AWAITING_ANSWER -> {
--- a/src/main/java/heathswitch/proxy/http1/ClientListener.java
+++ b/src/main/java/heathswitch/proxy/http1/ClientListener.java
@@ -1,6 +1,6 @@
 package heathswitch.proxy.http1;
 
-import static java.util.concurrent.TimeUnit.MILLISECONDS;
+import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
 import heathswitch.proxy.dispatch.Dispatcher;
 import heathswitch.proxy.runtime.Clock;
@@ -31,7 +31,7 @@
    */
   static final int RECEIVE_BUFFER_BYTES = 256 << 10;
 
-  private static final long TICK_MILLIS = 200;
+  static final long TICK_NANOS = 200_000_000L;
 
   /** Longest read from a client at once. */
   private static final int READ_BYTES = 32 << 10;
@@ -107,7 +107,7 @@
     }
     Channel bound = bootstrap.bind(address).sync().channel();
     loop.submit(() -> onBound(bound)).sync();
-    loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, MILLISECONDS);
+    loop.scheduleAtFixedRate(this::tick, TICK_NANOS, TICK_NANOS, NANOSECONDS);
   }
 
   /** Closes the listener again if it was stopped while binding. */
--- a/src/test/java/heathswitch/testbed/platform/SlowMessagesTest.java
+++ b/src/test/java/heathswitch/testbed/platform/SlowMessagesTest.java
@@ -233,7 +233,11 @@
 
   private static String log(PlatformFleet fleet) {
     try {
-      return Files.readString(fleet.balancers().get(0).log());
+      StringBuilder logs = new StringBuilder();
+      for (PlatformBalancer balancer : fleet.balancers()) {
+        logs.append(Files.readString(balancer.log()));
+      }
+      return logs.toString();
     } catch (IOException e) {
       return e.toString();
     }
