--- a/review/standins-2/src/Discovery.java
+++ b/review/standins-2/src/Discovery.java
@@ -215,13 +215,13 @@
     return Kit.list(revision, false, entries);
   }
 
-  /** Another balancer: calls for a watch, again after each failure, and keeps it. */
+  /** Another balancer: calls for a watch within 1.5 s, again after failures, and keeps it. */
   void otherBalancer(String name) {
     Kit.run(
         name,
         () -> {
           java.util.Random random = new java.util.Random(name.hashCode());
-          Thread.sleep(random.nextInt(1000));
+          Thread.sleep(500 + random.nextInt(1000));
           while (true) {
             try (Socket socket = new Socket("127.0.0.1", port())) {
               socket
--- a/review/standins-2/src/Kit.java
+++ b/review/standins-2/src/Kit.java
@@ -468,6 +468,9 @@
     Socket socket;
     InputStream in;
 
+    /** When the last byte of the newest request was written. */
+    double lastSentAt;
+
     Client(int port) {
       this.port = port;
     }
@@ -508,6 +511,7 @@
       all.write(body);
       socket.setSoTimeout(Math.max(1, (int) (seconds * 1000)));
       socket.getOutputStream().write(all.toByteArray());
+      lastSentAt = now();
       Message answer = read(in, false);
       if (answer.header("connection").equalsIgnoreCase("close")) {
         disconnect();
--- a/review/standins-2/src/Crowd.java
+++ b/review/standins-2/src/Moved.java
@@ -1,112 +1,118 @@
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** All watches are reset once; discovery has too many callers while an upstream begins to drain. */
-final class Crowd {
+/**
+ * A new configuration moves discovery. All balancers of the fleet call the new one, which works
+ * through their calls in turn. An upstream begins to drain just then.
+ */
+final class Moved {
+  static final int OTHERS = 200;
+
+  /** The new discovery is slow: it needs this long for one call from every balancer. */
+  static final double ALL_CALLS_SECONDS = 30;
+
   static final double GRACE = 2.0 + 0.05;
-  static final double TOLD_AT_THE_LATEST = 6.0;
+  static final double TOLD_AFTER_SIGHUP = 4.0;
 
-  private Crowd() {}
+  private Moved() {}
 
   public static void main(String[] args) throws Exception {
     Path folder = Path.of(args[0]);
     boolean trouble = !"0".equals(args[1]);
     Kit.Record record = new Kit.Record(Path.of(args[2]));
-    Discovery discovery = new Discovery(record);
+    Discovery old = new Discovery(record);
+    Discovery next = new Discovery(record);
     List<Kit.Upstream> upstreams = new ArrayList<>();
     for (int i = 1; i <= 4; i++) {
       upstreams.add(new Kit.Upstream("s-" + i, record, Kit.serves(40)));
     }
-    discovery.putQuietly(upstreams);
+    old.putQuietly(upstreams);
+    next.putQuietly(upstreams);
     String settings =
         Kit.settings(
-            Kit.requestClass("view", "read_like", "all", 2500, 5000)
-                + ","
-                + Kit.requestClass("publish", "non_idempotent", "all", 2500, 5000),
+            Kit.requestClass("view", "read_like", "all", 2500, 5000),
             ",\"may_duplicate\":true,\"most_tries\":4",
             "",
             true);
     Kit.Balancer balancer = new Kit.Balancer(folder, "n1", settings, 512, 192);
-    balancer.configure(discovery.port(), discovery.whole());
+    balancer.configure(old.port(), old.whole());
     balancer.start();
     if (!balancer.awaitReady()) {
       record.add("the balancer did not become ready");
       System.exit(2);
     }
     double ready = Kit.now();
-    while (discovery.toldAt < 0 && Kit.now() < ready + 12) {
+    while (old.toldAt < 0 && Kit.now() < ready + 12) {
       Thread.sleep(50);
     }
-    if (discovery.toldAt < 0) {
+    if (old.toldAt < 0) {
       record.add("the balancer has not called discovery");
       System.exit(2);
     }
     AtomicInteger answers = new AtomicInteger();
     for (int i = 0; i < 6; i++) {
-      int number = i;
+      long pause = 60 + 10 * i;
       Kit.run(
           "client " + i,
           () -> {
             Kit.Client client = new Kit.Client(balancer.port);
             while (true) {
               String id = Kit.newId();
-              boolean unsafe = number == 0;
-              String head =
-                  Kit.request(unsafe ? "POST" : "GET", id, unsafe ? "publish" : "view", 2.5, "", 0);
               record.add("sent " + id);
+              String head = Kit.request("GET", id, "view", 2.5, "", 0);
               Kit.Message answer = client.call(head, new byte[0], 4);
-              record.add(
-                  "answered " + id + " " + (answer == null ? "none" : answer.first));
+              record.add("answered " + id + " " + (answer == null ? "none" : answer.first));
               answers.incrementAndGet();
-              Thread.sleep(60 + 10 * number);
+              Thread.sleep(pause);
             }
           });
     }
-    Kit.Upstream draining = upstreams.get(1);
     double begin = Kit.now();
     Kit.sleepUntil(begin + 5);
-    if (trouble) {
-      discovery.capacity = 2.8;
-      discovery.resetWatches();
-      for (int i = 0; i < 200; i++) {
-        discovery.otherBalancer("other-" + i);
-      }
+    next.capacity = (OTHERS + 1) / ALL_CALLS_SECONDS;
+    double moved = Kit.now();
+    balancer.configure(next.port(), old.whole());
+    record.add("SIGHUP");
+    balancer.signal("HUP");
+    for (int i = 0; trouble && i < OTHERS; i++) {
+      next.otherBalancer("other-" + i);
     }
-    Kit.sleepUntil(begin + 8);
-    double had = Kit.now();
-    draining.phase = "terminating";
-    discovery.put(draining);
-    double toldLatest = had + TOLD_AT_THE_LATEST;
+    Kit.close(old.server);
+    Kit.sleepUntil(moved + 1.5);
+    old.resetWatches();
+    Kit.Upstream draining = upstreams.get(1);
     AtomicInteger late = new AtomicInteger();
     Kit.Behaviour before = draining.behaviour;
+    draining.phase = "terminating";
+    next.put(draining);
     draining.behaviour =
         (upstream, exchange) -> {
-          double told = discovery.toldAt > had - 0.001 ? discovery.toldAt : toldLatest;
-          told = Math.min(told, toldLatest);
+          double told = moved + TOLD_AFTER_SIGHUP;
+          told = next.toldAt > 0 ? Math.min(told, next.toldAt) : told;
           double at = exchange.request.firstByteAt;
           if (at > told + GRACE) {
             late.incrementAndGet();
             record.add(
                 String.format(
-                    java.util.Locale.ROOT,
-                    "LATE: sent to %s %.3f s after it counts as told",
+                    Locale.ROOT,
+                    "LATE: sent to %s %.3f s after the drain counts as told",
                     upstream.id,
                     at - told));
           }
           before.handle(upstream, exchange);
         };
-    Kit.sleepUntil(had + 16);
+    Kit.sleepUntil(moved + 15);
     record.add(
         "discovery answered "
-            + discovery.answeredOthers
+            + next.answeredOthers
             + " calls of other balancers and turned "
-            + discovery.rejectedOthers
+            + next.rejectedOthers
             + " away");
     record.add("requests answered " + answers + ", sent to the draining upstream too late " + late);
-    boolean alive = balancer.process.isAlive();
-    System.exit(!alive || answers.get() < 100 ? 2 : late.get() > 0 ? 1 : 0);
+    boolean ran = balancer.process.isAlive() && answers.get() >= 100;
+    System.exit(late.get() > 0 ? 1 : ran ? 0 : 2);
   }
 }
