--- a/review/standins-2/src/Discovery.java
+++ b/review/standins-2/src/Discovery.java
@@ -46,6 +46,9 @@
   /** When a list was last written to the balancer under test, and whether it has a watch. */
   volatile double toldAt = -1;
 
+  /** While discovery is down, its agent on the balancer's machine accepts and is silent. */
+  volatile boolean silent;
+
   volatile int answeredOthers;
   volatile int rejectedOthers;
 
@@ -119,6 +122,9 @@
     while (true) {
       Thread.sleep(2000);
       synchronized (this) {
+        if (silent) {
+          continue;
+        }
         new ArrayList<>(watches).forEach(watch -> write(watch, ""));
       }
     }
@@ -139,6 +145,9 @@
     if (call.caller.isEmpty()) {
       record.add("the balancer calls discovery: " + call.path);
     }
+    while (silent) {
+      Thread.sleep(5);
+    }
     queue.add(call);
     Thread.sleep(CALL_TIMEOUT_NANOS / 1_000_000);
     synchronized (call) {
