--- a/review/standins-2/src/Moved.java
+++ b/review/standins-2/src/Moved.java
@@ -27,13 +27,15 @@
     Discovery next = new Discovery(record);
     List<Kit.Upstream> upstreams = new ArrayList<>();
     for (int i = 1; i <= 4; i++) {
-      upstreams.add(new Kit.Upstream("s-" + i, record, Kit.serves(40)));
+      upstreams.add(new Kit.Upstream("s-" + i, record, Kit.serves(300)));
     }
     old.putQuietly(upstreams);
     next.putQuietly(upstreams);
     String settings =
         Kit.settings(
-            Kit.requestClass("view", "read_like", "all", 2500, 5000),
+            Kit.requestClass("view", "read_like", "all", 2500, 5000)
+                + ","
+                + Kit.requestClass("publish", "non_idempotent", "all", 2500, 5000),
             ",\"may_duplicate\":true,\"most_tries\":4",
             "",
             true);
@@ -53,8 +55,10 @@
       System.exit(2);
     }
     AtomicInteger answers = new AtomicInteger();
-    for (int i = 0; i < 6; i++) {
-      long pause = 60 + 10 * i;
+    AtomicInteger failed = new AtomicInteger();
+    for (int i = 0; i < 16; i++) {
+      long pause = 60 + 5 * i;
+      boolean unsafe = i % 2 == 0;
       Kit.run(
           "client " + i,
           () -> {
@@ -62,10 +66,14 @@
             while (true) {
               String id = Kit.newId();
               record.add("sent " + id);
-              String head = Kit.request("GET", id, "view", 2.5, "", 0);
+              String head =
+                  Kit.request(unsafe ? "POST" : "GET", id, unsafe ? "publish" : "view", 2.5, "", 0);
               Kit.Message answer = client.call(head, new byte[0], 4);
               record.add("answered " + id + " " + (answer == null ? "none" : answer.first));
               answers.incrementAndGet();
+              if (unsafe && answer != null && answer.status() == 502) {
+                failed.incrementAndGet();
+              }
               Thread.sleep(pause);
             }
           });
@@ -104,7 +112,15 @@
           }
           before.handle(upstream, exchange);
         };
-    Kit.sleepUntil(moved + 15);
+    // What s-2 had is done long ago; its process ends.
+    Kit.sleepUntil(moved + TOLD_AFTER_SIGHUP + GRACE + 1.5);
+    int failedBefore = failed.get();
+    record.add("s-2 ends, its drain is over");
+    draining.phase = "terminated";
+    draining.die();
+    next.put(draining);
+    Kit.sleepUntil(moved + 12);
+    record.add("publish requests that s-2 had begun and that are lost: " + (failed.get() - failedBefore));
     record.add(
         "discovery answered "
             + next.answeredOthers
--- a/review/standins-2/src/Restart.java
+++ b/review/standins-2/src/Restart.java
@@ -17,12 +17,14 @@
     Discovery agent = new Discovery(record);
     List<Kit.Upstream> upstreams = new ArrayList<>();
     for (int i = 1; i <= 4; i++) {
-      upstreams.add(new Kit.Upstream("s-" + i, record, Kit.serves(40)));
+      upstreams.add(new Kit.Upstream("s-" + i, record, Kit.serves(300)));
     }
     agent.putQuietly(upstreams);
     String settings =
         Kit.settings(
-            Kit.requestClass("view", "read_like", "all", 2500, 5000),
+            Kit.requestClass("view", "read_like", "all", 2500, 5000)
+                + ","
+                + Kit.requestClass("publish", "non_idempotent", "all", 2500, 5000),
             ",\"may_duplicate\":true,\"most_tries\":4",
             "",
             false);
@@ -35,7 +37,9 @@
       System.exit(2);
     }
     AtomicInteger served = new AtomicInteger();
-    for (int i = 0; i < 6; i++) {
+    AtomicInteger failed = new AtomicInteger();
+    for (int i = 0; i < 16; i++) {
+      boolean unsafe = i % 2 == 0;
       Kit.run(
           "client " + i,
           () -> {
@@ -45,11 +49,17 @@
               record.add("sent " + id);
               Kit.Message answer = null;
               try {
-                answer = client.call(Kit.request("GET", id, "view", 2.5, "", 0), new byte[0], 4);
+                String head =
+                    Kit.request(
+                        unsafe ? "POST" : "GET", id, unsafe ? "publish" : "view", 2.5, "", 0);
+                answer = client.call(head, new byte[0], 4);
               } catch (java.io.IOException e) {
                 Thread.sleep(100); // The balancer is away.
               }
               record.add("answered " + id + " " + (answer == null ? "none" : answer.first));
+              if (unsafe && answer != null && answer.status() == 502) {
+                failed.incrementAndGet();
+              }
               if (answer != null && answer.status() == 200) {
                 served.incrementAndGet();
               }
@@ -92,6 +102,14 @@
           }
           before.handle(upstream, exchange);
         };
+    // What s-2 had is done long ago; its process ends.
+    Kit.sleepUntil(ready + GRACE + 1.5);
+    int failedBefore = failed.get();
+    record.add("s-2 ends, its drain is over");
+    draining.phase = "terminated";
+    draining.die();
+    Kit.sleepUntil(ready + GRACE + 4);
+    record.add("publish requests that s-2 had begun and that are lost: " + (failed.get() - failedBefore));
     Kit.sleepUntil(begin + 15);
     agent.silent = false;
     record.add("discovery is up");
