--- a/review/standins-2/src/SmallChunks.java
+++ b/review/standins-2/src/SmallChunks.java
@@ -158,6 +158,15 @@
   /** A body of 60 MB in chunks of one byte, at full speed, until it is turned away. */
   private static void bad(int port) {
     try (Socket socket = new Socket("127.0.0.1", port)) {
+      Kit.run(
+          "what a bad client is sent",
+          () -> {
+            try (socket) {
+              while (socket.getInputStream().read() >= 0) {
+                // It reads its error, and goes when the balancer has ended the connection.
+              }
+            }
+          });
       byte[] chunks = "1\r\nb\r\n".repeat(10000).getBytes();
       socket.getOutputStream().write(head(Kit.newId()).getBytes());
       for (int i = 0; i < 1000; i++) {
