Reject a request that is longer than its declared length, also while it runs

Cause: bytes behind a request were taken for the next request until a line of them was complete, blanks and control characters were skipped, and a failure to decode them was looked at after the answer only.

A failure behind a request that has not been answered rejects that request: before it is sent, before the last piece of a streamed body, while it runs (its attempt is cancelled) or while its answer is written (it is aborted).

--- a/src/main/java/heathswitch/proxy/http1/ClientConnection.java
+++ b/src/main/java/heathswitch/proxy/http1/ClientConnection.java
@@ -229,8 +229,18 @@
     }
   }
 
-  /** Reading continues while a request is processed, because only reading detects a disconnect. */
+  /**
+   * Reading continues while a request is processed, because only reading detects a disconnect. What
+   * cannot be decoded shows that the client has sent more than the length it declared, so that the
+   * request that is being processed may be incomplete.
+   */
   private void queuePipelined(HttpObject part) {
+    if (part.decoderResult().isFailure()) {
+      Throwable cause = part.decoderResult().cause();
+      ReferenceCountUtil.release(part);
+      rejectMalformed(cause);
+      return;
+    }
     pipelined.add(part);
     if (pipelined.hasOverflowed()) {
       dropPipelined();
@@ -254,8 +264,8 @@
   /**
    * Reads pending input first, unless a read is in progress. Only reading detects that the client
    * has closed the connection, which may have happened long ago if the event loop was delayed or
-   * reading was paused. Of a body that is being streamed only a little is read, as it is kept in
-   * memory.
+   * reading was paused, and that more has arrived than the declared length, upon which the request
+   * is rejected. Of a body that is being streamed only a little is read, as it is kept in memory.
    */
   @Override
   public boolean isStillWaiting() {
@@ -268,7 +278,7 @@
       onDisconnected(); // channelInactive is only called on a later turn of the event loop.
       return false;
     }
-    return true;
+    return phase != Phase.LINGERING;
   }
 
   private void read(HttpObject part) {
@@ -313,7 +323,22 @@
     } else if (cause instanceof TooLongHttpLineException) {
       status = HttpResponseStatus.REQUEST_URI_TOO_LONG;
     }
-    reject(status, "malformed request");
+    Log.info("bad request", "malformed: " + cause);
+    rejectOpenRequest(status, "malformed request");
+  }
+
+  /** Answers an invalid request that may have been dispatched, and cancels its attempts. */
+  private void rejectOpenRequest(HttpResponseStatus status, String reason) {
+    if (answerSource != null) {
+      answerAborted(); // A part of the answer has been written; no error can follow it.
+      return;
+    }
+    RequestHandle openTicket = ticket;
+    ticket = null;
+    reject(status, reason);
+    if (openTicket != null) {
+      openTicket.callerGone();
+    }
   }
 
   private void beginRequest(HttpRequest request) {
@@ -517,13 +542,8 @@
    * refused and can safely be retried.
    */
   private void refuseUpload() {
-    RequestHandle openTicket = ticket;
     lingeringClose = LingeringClose.DURING_UPLOAD;
-    reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "refused");
-    if (openTicket != null) {
-      ticket = null;
-      openTicket.callerGone();
-    }
+    rejectOpenRequest(HttpResponseStatus.SERVICE_UNAVAILABLE, "refused");
   }
 
   /**
@@ -653,6 +673,10 @@
   @Override
   public void serve(Answer whole) {
     HttpAnswer answer = (HttpAnswer) whole; // HttpPayload produces no other type.
+    if (input.isPaused() && !isStillWaiting()) {
+      answer.release(); // What was unread showed that the request was longer than declared.
+      return;
+    }
     FullHttpResponse response =
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, answer.body());
     HeaderRules.copyEndToEndHeaders(answer.head().headers(), response.headers());
