Read costly input in turns by its cost, and count what a request waits unread

Cause: all pauses after costly reads came from one account in the order of the reads, so who had cost little waited for all others; the wait was counted for streamed bodies only, and taken for the client's slowness.

Change: DecodingThrottle gives turns to the connection of the least cost, in reads of 4 KB, from a budget of a third of the time. ClientConnection counts the time of buffered bodies from when the client may have sent everything, refuses when it is over, and blames no client whose input was held back.

--- a/src/main/java/heathswitch/proxy/http1/ClientConnection.java
+++ b/src/main/java/heathswitch/proxy/http1/ClientConnection.java
@@ -84,9 +84,6 @@
   /** How long an upstream may accept nothing of a streamed body. */
   static final long UPSTREAM_STALL_TIMEOUT_NANOS = 3_000_000_000L;
 
-  /** Time for reading what arrived while reading was paused. */
-  private static final long BACKLOG_READ_NANOS = 100_000_000L;
-
   /** What a client's own socket may hold of a body: Linux lets send buffers grow to 4 MiB. */
   private static final long MAX_SEND_BUFFER_BYTES = 5 << 20;
 
@@ -144,6 +141,10 @@
   private RequestClass requestClass;
   private long clientTimeoutNanos;
   private BodyBuffer body;
+
+  /** The declared length of the body, or -1 if it is chunked. */
+  private long bodyLength;
+
   private long bodyBytes;
   private long reservedBytes;
   private RequestHandle ticket;
@@ -166,14 +167,15 @@
   private StreamedRequestBody streamedBody;
   private boolean readingPaused;
 
-  /** When reading was paused for the last time, and when it was resumed after that. */
+  /** When reading was paused for the last time because the upstream accepted no more. */
   private long pausedNanos;
 
-  private long resumedNanos;
-
   /** When so much of a body had been read that the client may have sent all of it. */
   private long maybeSentNanos;
 
+  /** When the client may have sent the last byte of the request, once it is complete. */
+  private long sentNanos;
+
   /** The source of the answer while an answer is being streamed, otherwise null. */
   private StreamedAnswerSource answerSource;
 
@@ -208,6 +210,10 @@
     this.clock = clock;
     this.channel = channel;
     this.input = new SocketInput(channel, clock, listener.decodingThrottle);
+    channel
+        .config()
+        .setRecvByteBufAllocator(
+            new ShortReadAllocator(() -> input.maxReadBytes(ClientListener.READ_BYTES)));
     this.timerStartNanos = clock.nowNanos();
   }
 
@@ -352,6 +358,7 @@
     phase = Phase.READING_BODY;
     timerStartNanos = clock.nowNanos();
     lastPieceNanos = timerStartNanos;
+    maybeSentNanos = 0;
     bodyBytes = 0;
     requestClass = null;
     boolean readinessProbe = request.uri().equals("/up");
@@ -366,7 +373,8 @@
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over 40 MiB");
       return;
     }
-    body = new BodyBuffer(channel.alloc(), HttpUtil.getContentLength(request, -1L));
+    bodyLength = HttpUtil.getContentLength(request, -1L);
+    body = new BodyBuffer(channel.alloc(), bodyLength);
     sendContinueIfExpected();
   }
 
@@ -433,6 +441,7 @@
       }
       return;
     }
+    noteUnsentBody();
     body.append(piece);
     if (last) {
       onBodyComplete();
@@ -443,7 +452,7 @@
 
   /** Whether an incomplete body is too long to be buffered, and enough of it has been received. */
   private boolean shouldStreamBody() {
-    return HttpUtil.getContentLength(head, -1L) > MAX_BUFFERED_BODY_BYTES
+    return bodyLength > MAX_BUFFERED_BODY_BYTES
         ? bodyBytes >= STREAMING_PREFIX_BYTES
         : bodyBytes >= MAX_BUFFERED_BODY_BYTES;
   }
@@ -461,12 +470,9 @@
     }
     long prefixReservation = reservedBytes;
     reservedBytes = 0;
-    input.noteSilence();
-    maybeSentNanos = clock.nowNanos();
-    long contentLength = HttpUtil.getContentLength(head, -1L);
     streamedBody =
         new StreamedRequestBody(
-            this, listener.budget, contentLength, body.takeBuffer(), prefixReservation);
+            this, listener.budget, bodyLength, body.takeBuffer(), prefixReservation);
     body = null;
     HttpRequest accepted = head;
     head = null;
@@ -486,10 +492,8 @@
       channel.close(); // Endless chunked body. Without its last byte the request never runs.
       return;
     }
+    noteUnsentBody();
     if (!last) {
-      if (cannotHaveSentAll()) {
-        maybeSentNanos = lastPieceNanos;
-      }
       streamedBody.append(content.content());
       return;
     }
@@ -530,7 +534,6 @@
         pausedNanos = lastPieceNanos;
         input.pause(SocketInput.Pause.BACKPRESSURE);
       } else {
-        resumedNanos = lastPieceNanos;
         input.resume(SocketInput.Pause.BACKPRESSURE);
       }
       timerStartNanos = lastPieceNanos - slowestTransferNanos(bodyBytes);
@@ -549,19 +552,29 @@
   /**
    * How long the client still waits if it has sent everything. Its time counts from its last byte,
    * which may have been sent as soon as not all input was read at once: an upstream that reads
-   * slowly causes many short pauses.
+   * slowly causes many short pauses, and so does input that is costly to decode.
    */
   long remainingClientNanos() {
-    if (streamedBody == null || input.unreadSinceNanos() == 0 || cannotHaveSentAll()) {
-      return clientTimeoutNanos;
+    return Math.max(0, clientTimeoutNanos - (clock.nowNanos() - maybeCompleteNanos()));
+  }
+
+  /** When the client may have sent everything; now if all that has arrived has been read. */
+  private long maybeCompleteNanos() {
+    return input.unreadSinceNanos() == 0 || cannotHaveSentAll()
+        ? clock.nowNanos()
+        : Math.max(input.unreadSinceNanos(), maybeSentNanos);
+  }
+
+  /** Called with each piece of the body. */
+  private void noteUnsentBody() {
+    if (cannotHaveSentAll()) {
+      maybeSentNanos = lastPieceNanos;
     }
-    long waitedNanos = clock.nowNanos() - Math.max(input.unreadSinceNanos(), maybeSentNanos);
-    return Math.max(0, clientTimeoutNanos - waitedNanos);
   }
 
   /** Whether the rest of the body is longer than what can be on its way. */
   private boolean cannotHaveSentAll() {
-    return streamedBody.length() - bodyBytes > MAX_SOCKET_BUFFER_BYTES;
+    return bodyLength - bodyBytes > MAX_SOCKET_BUFFER_BYTES;
   }
 
   /** How long reading may be paused; the time of a client that has sent everything runs on. */
@@ -579,6 +592,7 @@
       listener.budget.release(reservedBytes - bodyBytes);
       reservedBytes = bodyBytes;
     }
+    sentNanos = maybeCompleteNanos();
     phase = Phase.REQUEST_COMPLETE;
   }
 
@@ -609,7 +623,8 @@
       reject(HttpResponseStatus.BAD_REQUEST, error);
       return;
     }
-    if (lacksHeadMemory()) {
+    long remainingNanos = clientTimeoutNanos - (clock.nowNanos() - sentNanos);
+    if (lacksHeadMemory() || (requestClass != null && remainingNanos <= 0)) {
       refuseUnread();
       return;
     }
@@ -623,7 +638,7 @@
       completeBody.release();
       answerReadinessProbe(accepted);
     } else {
-      dispatch(accepted, completeBody, clientTimeoutNanos, RequestProtocol.HTTP1);
+      dispatch(accepted, completeBody, remainingNanos, RequestProtocol.HTTP1);
     }
   }
 
@@ -1076,6 +1091,42 @@
     channel.eventLoop().schedule(() -> tick(clock.nowNanos()), nanos, NANOSECONDS);
   }
 
+  /**
+   * Enforces the limits on a body that is being buffered. A client whose input was throttled may
+   * have sent all of it, so it is told that a retry is safe, and when its time is over.
+   */
+  private void enforceBodyTimeout(long now) {
+    boolean clientWaits = input.isPaused() && requestClass != null;
+    if (isBodyTooSlow(now) && !input.wasThrottled()) {
+      reject(HttpResponseStatus.REQUEST_TIMEOUT, "body too slow");
+    } else if (isBodyTooSlow(now) || (clientWaits && remainingClientNanos() == 0)) {
+      refuseUnread();
+    } else if (clientWaits) {
+      tickBeforeTimeout();
+    }
+  }
+
+  /** Enforces the limits on a body that is being streamed. */
+  private void enforceUploadTimeout(long now) {
+    boolean tooSlow = !readingPaused && isBodyTooSlow(now);
+    boolean pausedTooLong = readingPaused && now - pausedNanos > maxPauseNanos();
+    if (tooSlow && !input.wasThrottled()) {
+      channel.close(); // Without its last byte the request never runs.
+    } else if (tooSlow || pausedTooLong || remainingClientNanos() == 0) {
+      refuseUpload();
+    } else {
+      tickBeforeTimeout();
+    }
+  }
+
+  /** Ticks again when the client's time is over, if the next regular tick would be too late. */
+  private void tickBeforeTimeout() {
+    long remainingNanos = remainingClientNanos();
+    if (remainingNanos < ClientListener.TICK_NANOS) {
+      tickAgainAfter(remainingNanos);
+    }
+  }
+
   /** Enforces the time limits; called periodically. */
   public void tick(long now) {
     long age = now - timerStartNanos;
@@ -1089,23 +1140,10 @@
           closeIdle();
         }
       }
-      case READING_BODY -> {
-        if (isBodyTooSlow(now)) {
-          reject(HttpResponseStatus.REQUEST_TIMEOUT, "body too slow");
-        }
-      }
+      case READING_BODY -> enforceBodyTimeout(now);
       case STREAMING_BODY -> {
-        if (!readingPaused && now - Math.max(resumedNanos, lastPieceNanos) > BACKLOG_READ_NANOS) {
-          input.noteSilence(); // Otherwise something would have been read.
-        }
-        long remainingNanos = remainingClientNanos();
-        if (!readingPaused && isBodyTooSlow(now)) {
-          channel.close(); // Without its last byte the request never runs.
-        } else if (remainingNanos == 0 || (readingPaused && now - pausedNanos > maxPauseNanos())) {
-          refuseUpload();
-        } else if (remainingNanos < ClientListener.TICK_NANOS) {
-          tickAgainAfter(remainingNanos); // The next regular tick would be too late.
-        }
+        input.noteSilence(now);
+        enforceUploadTimeout(now);
       }
       case AWAITING_ANSWER -> {
         if (answerSource != null && !channel.isWritable() && age > WRITE_TIMEOUT_NANOS) {
--- a/src/main/java/heathswitch/proxy/http1/ClientListener.java
+++ b/src/main/java/heathswitch/proxy/http1/ClientListener.java
@@ -34,7 +34,7 @@
   static final long TICK_NANOS = 200_000_000L;
 
   /** Longest read from a client at once. */
-  private static final int READ_BYTES = 32 << 10;
+  static final int READ_BYTES = 32 << 10;
 
   /**
    * How long a drain or a shutdown waits for the first request on a new connection. If a connection
@@ -48,7 +48,7 @@
   final ResourceBudget budget;
   final MemoryBudget headMemory = new MemoryBudget(MemoryBudget.HEAD_BYTES);
   final MemoryBudget bodyMemory = new MemoryBudget(MemoryBudget.BODY_BYTES);
-  final DecodingThrottle decodingThrottle = new DecodingThrottle();
+  final DecodingThrottle decodingThrottle;
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
 
   /** Longest idle first. */
@@ -76,6 +76,7 @@
     this.loop = loop;
     this.clock = clock;
     this.budget = budget;
+    this.decodingThrottle = new DecodingThrottle(loop, clock);
   }
 
   /**
@@ -100,8 +101,7 @@
     ServerBootstrap bootstrap =
         Listeners.bootstrap(loop, this::onAccepted)
             .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
-            .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-            .childOption(ChannelOption.RCVBUF_ALLOCATOR, new ShortReadAllocator(() -> READ_BYTES));
+            .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES);
     if (reusePort) {
       bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
     }
--- a/src/main/java/heathswitch/proxy/http1/SocketInput.java
+++ b/src/main/java/heathswitch/proxy/http1/SocketInput.java
@@ -1,7 +1,5 @@
 package heathswitch.proxy.http1;
 
-import static java.util.concurrent.TimeUnit.NANOSECONDS;
-
 import heathswitch.proxy.runtime.Clock;
 import io.netty.channel.Channel;
 import io.netty.channel.RecvByteBufAllocator;
@@ -14,7 +12,7 @@
  * Decides when the socket of a connection is read, and keeps track of whether everything that had
  * arrived has been read.
  */
-final class SocketInput {
+final class SocketInput extends DecodingThrottle.Reader {
   /** A reason not to read. */
   enum Pause {
     /** Whoever gets the body does not accept more of it. */
@@ -31,6 +29,12 @@
    */
   private static final int MAX_PENDING_READS = 512;
 
+  /** Longest read at once after a costly one, so that no single turn takes long. */
+  private static final int COSTLY_READ_BYTES = 4 << 10;
+
+  /** What had arrived before is read within this time, unless reading is paused. */
+  private static final long BACKLOG_READ_NANOS = 100_000_000L;
+
   private final Channel channel;
   private final Clock clock;
   private final DecodingThrottle throttle;
@@ -42,6 +46,12 @@
   private long readStartNanos;
   private int parts;
 
+  /** Whether reading has ever been paused because of its cost. */
+  private boolean throttled;
+
+  /** When the last read ended, or reading was resumed after that. */
+  private long readableSinceNanos;
+
   /** Since when input may have arrived that has not been read; 0 if all of it has been read. */
   private long unreadSinceNanos;
 
@@ -49,6 +59,12 @@
     this.channel = channel;
     this.clock = clock;
     this.throttle = throttle;
+    channel.closeFuture().addListener(closed -> throttle.stopWaiting(this));
+  }
+
+  /** How much may be read at once, of at most the given length. */
+  int maxReadBytes(int bytes) {
+    return DecodingThrottle.isCostly(parts) ? Math.min(bytes, COSTLY_READ_BYTES) : bytes;
   }
 
   void pause(Pause reason) {
@@ -60,12 +76,14 @@
 
   void resume(Pause reason) {
     if (pauses.remove(reason) && pauses.isEmpty()) {
+      readableSinceNanos = clock.nowNanos();
       channel.config().setAutoRead(true);
     }
   }
 
   /** Resumes reading for all reasons, at the end of the last request. */
   void resumeAll() {
+    throttle.stopWaiting(this);
     pauses.clear();
     channel.config().setAutoRead(true);
   }
@@ -74,11 +92,17 @@
     return !pauses.isEmpty();
   }
 
+  /** Whether the peer may have been kept from sending by the cost of its input. */
+  boolean wasThrottled() {
+    return throttled;
+  }
+
   /** Called with each part that is read. A read that turns out to be costly is cut short. */
   void partRead(HttpObject part) {
     if (!reading) {
       reading = true;
       readStartNanos = clock.nowNanos();
+      noteSilence(readStartNanos);
       parts = 0;
     }
     parts += DecodingThrottle.smallPartsOf(part);
@@ -91,20 +115,25 @@
   void readCompleted() {
     if (reading) {
       reading = false;
-      resumeAfterCostlyRead();
+      if (DecodingThrottle.isCostly(parts) && channel.isActive()) {
+        throttled = true;
+        pause(Pause.DECODING);
+        throttle.awaitTurn(this, readStartNanos);
+      }
     }
+    readableSinceNanos = clock.nowNanos();
     if (isDrained()) {
-      unreadSinceNanos = pauses.isEmpty() ? 0 : clock.nowNanos();
+      unreadSinceNanos = pauses.isEmpty() ? 0 : readableSinceNanos;
     } else {
       mayHaveUnread();
     }
   }
 
-  private void resumeAfterCostlyRead() {
-    if (DecodingThrottle.isCostly(parts)) {
-      pause(Pause.DECODING);
-      long pauseNanos = throttle.pauseNanos(readStartNanos, clock.nowNanos());
-      channel.eventLoop().schedule(() -> resume(Pause.DECODING), pauseNanos, NANOSECONDS);
+  @Override
+  void takeTurn() {
+    resume(Pause.DECODING);
+    if (pauses.isEmpty()) {
+      readOnce(); // At once, as the next turn depends on what this read costs.
     }
   }
 
@@ -125,9 +154,9 @@
     return unreadSinceNanos;
   }
 
-  /** Nothing has arrived for so long, while reading, that nothing can be unread. */
-  void noteSilence() {
-    if (pauses.isEmpty()) {
+  /** Called now and then: if nothing has been read for long, nothing can be unread. */
+  void noteSilence(long now) {
+    if (pauses.isEmpty() && now - readableSinceNanos > BACKLOG_READ_NANOS) {
       unreadSinceNanos = 0;
     }
   }
--- a/src/main/java/heathswitch/proxy/http1/UpstreamConnection.java
+++ b/src/main/java/heathswitch/proxy/http1/UpstreamConnection.java
@@ -165,6 +165,10 @@
     payload = requestPayload;
     channel = connectFuture.channel();
     input = new SocketInput(channel, clock, pool.decodingThrottle);
+    channel
+        .config()
+        .setRecvByteBufAllocator(
+            new ShortReadAllocator(() -> input.maxReadBytes(pool.streamMemory.bytesPerStream())));
     attempt = firstAttempt;
     firstAttempt.attach(this);
     phase = Phase.AWAITING_HEAD;
--- a/src/main/java/heathswitch/proxy/http1/UpstreamConnectionPool.java
+++ b/src/main/java/heathswitch/proxy/http1/UpstreamConnectionPool.java
@@ -60,7 +60,7 @@
   final ResourceBudget budget;
   final MemoryBudget headMemory = new MemoryBudget(MemoryBudget.HEAD_BYTES);
   final StreamMemory streamMemory = new StreamMemory();
-  final DecodingThrottle decodingThrottle = new DecodingThrottle();
+  final DecodingThrottle decodingThrottle;
   final MemoryBudget answerMemory = new MemoryBudget(MemoryBudget.ANSWER_BYTES);
   private long keepAliveNanos;
   private final BooleanSupplier evictClient;
@@ -85,14 +85,12 @@
     this.evictClient = evictClient;
     this.clock = clock;
     this.budget = budget;
+    this.decodingThrottle = new DecodingThrottle(loop, clock);
     this.bootstrap =
         new Bootstrap()
             .group(loop)
             .channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(
-                ChannelOption.RCVBUF_ALLOCATOR,
-                new ShortReadAllocator(streamMemory::bytesPerStream));
+            .option(ChannelOption.TCP_NODELAY, true);
     reload(limits);
   }
 
