Hold attempts of keyed requests to their window in the order they are written

Cause: the rule on repeats went by the order of the decisions: an attempt that was decided on first was bound by nothing that had been written before it.

Change: the decision module is told the first and the last byte of each attempt. An attempt may begin only in the window and group of those written before it, and is cancelled if it is not whole when the window of one that has come whole ends.

--- a/src/main/java/heathswitch/policy/core/Balancer.java
+++ b/src/main/java/heathswitch/policy/core/Balancer.java
@@ -69,6 +69,9 @@
   /** Timer token: call discovery if there is no subscription. */
   static final long SUBSCRIBE_TIMER = 2;
 
+  /** Timer tokens from here on, one for each request: end of a deduplication window. */
+  private static final long FIRST_WINDOW_TIMER = 1000;
+
   private final Actions actions;
   private final SplittableRandom random;
   private final Membership membership;
@@ -247,7 +250,59 @@
         && membership.trust(nowNanos) != ListTrust.NONE
         && membership.allowedByList(attempt.server, nowNanos)
         && attempt.server.health == Health.READY
-        && attempt.request.maySend(number, attempt.server, nowNanos);
+        && attempt.request.mayBegin(attempt, nowNanos);
+  }
+
+  /**
+   * The first byte of an attempt is about to be written. Attempts may begin in another order than
+   * they were decided on, and come whole in yet another one.
+   */
+  public void onBegun(long nowNanos, long id, int number) {
+    Request.Attempt attempt = openAttempt(id, number);
+    if (attempt == null) {
+      return;
+    }
+    attempt.begun = true;
+    attempt.begunNanos = nowNanos;
+    if (attempt.request.isKeyed() && attempt.request.attemptCount > 1) {
+      setWindowTimers(nowNanos, attempt.request);
+    }
+  }
+
+  /** The last byte of an attempt has been written: from now on its server may run the request. */
+  public void onWritten(long nowNanos, long id, int number) {
+    Request.Attempt attempt = openAttempt(id, number);
+    if (attempt != null) {
+      attempt.written = true;
+    }
+  }
+
+  private void setWindowTimers(long nowNanos, Request request) {
+    long windowNanos = request.requestClass.dedupWindowNanos();
+    for (int i = 0; i < request.attemptCount; i++) {
+      Request.Attempt attempt = request.attempts[i];
+      long endNanos = attempt.begunNanos + windowNanos;
+      if (attempt.begun && attempt.mayTakeEffect() && endNanos > nowNanos) {
+        actions.setTimer(endNanos - nowNanos, FIRST_WINDOW_TIMER + request.id);
+      }
+    }
+  }
+
+  /** Cancels the attempts of a request that would come whole after its deduplication window. */
+  private void endWindow(long nowNanos, long id) {
+    Request request = requests.get(id);
+    if (request == null || request.finished) {
+      return;
+    }
+    for (int i = 0; i < request.attemptCount; i++) {
+      Request.Attempt attempt = request.attempts[i];
+      if (attempt.open
+          && attempt.begun
+          && !attempt.written
+          && request.isTooLateToComplete(attempt, nowNanos + TIMER_SLACK_NANOS)) {
+        actions.cancel(id, i);
+      }
+    }
   }
 
   /**
@@ -294,6 +349,8 @@
       membership.onSubscribeTimer(nowNanos);
     } else if (token == SWEEP_TIMER) {
       sweep(nowNanos);
+    } else if (token >= FIRST_WINDOW_TIMER) {
+      endWindow(nowNanos, token - FIRST_WINDOW_TIMER);
     }
   }
 
--- a/src/main/java/heathswitch/policy/core/Request.java
+++ b/src/main/java/heathswitch/policy/core/Request.java
@@ -23,6 +23,14 @@
 
     boolean mayHaveRun;
 
+    /** Whether its first byte has been written, and when, as far as the host has told. */
+    boolean begun;
+
+    long begunNanos;
+
+    /** Whether its last byte has been written, as far as the host has told. */
+    boolean written;
+
     Attempt(Request request, Server server, int number, long sentNanos, long overdueNanos) {
       this.request = request;
       this.server = server;
@@ -30,6 +38,11 @@
       this.sentNanos = sentNanos;
       this.overdueNanos = overdueNanos;
     }
+
+    /** Whether the request may run, or have run, by this attempt. */
+    boolean mayTakeEffect() {
+      return open || mayHaveRun;
+    }
   }
 
   final long id;
@@ -96,13 +109,8 @@
    * within its deduplication window and group.
    */
   Attempt bindingAttempt() {
-    return bindingAttempt(attemptCount);
-  }
-
-  /** The same among the first attempts, as many as given. */
-  private Attempt bindingAttempt(int count) {
-    for (int i = 0; i < count; i++) {
-      if (attempts[i].open || attempts[i].mayHaveRun) {
+    for (int i = 0; i < attemptCount; i++) {
+      if (attempts[i].mayTakeEffect()) {
         return attempts[i];
       }
     }
@@ -111,21 +119,61 @@
 
   /** Whether the class allows another attempt at this server now. */
   boolean maySendTo(Server server, long nowNanos) {
-    return maySend(attemptCount, server, nowNanos);
+    Attempt binding = isSafe() ? null : bindingAttempt();
+    return supportsProtocolOf(server)
+        && (binding == null || mayRepeat(binding.server, binding.sentNanos, server, nowNanos));
+  }
+
+  /**
+   * Whether the class allows this attempt to be written now. It is bound by the attempts that were
+   * decided on before it, and by those decided on later that have been written first.
+   */
+  boolean mayBegin(Attempt attempt, long nowNanos) {
+    for (int i = 0; i < attemptCount && !isSafe(); i++) {
+      Attempt other = attempts[i];
+      boolean earlier = i < attempt.number;
+      boolean overtook = i > attempt.number && other.begun;
+      long sinceNanos = overtook ? other.begunNanos : other.sentNanos;
+      if ((earlier || overtook)
+          && other.mayTakeEffect()
+          && !mayRepeat(other.server, sinceNanos, attempt.server, nowNanos)) {
+        return false;
+      }
+    }
+    return supportsProtocolOf(attempt.server);
+  }
+
+  /** Whether another attempt has been written whole, and its deduplication window is over. */
+  boolean isTooLateToComplete(Attempt attempt, long nowNanos) {
+    for (int i = 0; i < attemptCount; i++) {
+      Attempt other = attempts[i];
+      if (other != attempt
+          && other.written
+          && other.mayTakeEffect()
+          && nowNanos - other.begunNanos >= requestClass.dedupWindowNanos()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  boolean isKeyed() {
+    return requestClass.effect() == RequestClass.Effect.KEYED;
+  }
+
+  private boolean isSafe() {
+    return requestClass.effect() == RequestClass.Effect.SAFE;
   }
 
-  /** Whether the class allows the attempt of this number at this server now. */
-  boolean maySend(int number, Server server, long nowNanos) {
-    Attempt binding =
-        requestClass.effect() == RequestClass.Effect.SAFE ? null : bindingAttempt(number);
-    boolean protocolSupported = (server.protocols & protocol.protocolBit()) != 0;
-    return protocolSupported && (binding == null || mayRepeat(binding, server, nowNanos));
+  private boolean supportsProtocolOf(Server server) {
+    return (server.protocols & protocol.protocolBit()) != 0;
   }
 
-  private boolean mayRepeat(Attempt bound, Server server, long nowNanos) {
-    return requestClass.effect() == RequestClass.Effect.KEYED
-        && nowNanos - bound.sentNanos < requestClass.dedupWindowNanos()
-        && inDedupGroup(bound.server, server);
+  /** Whether what a server may have run since then may be repeated at another one. */
+  private boolean mayRepeat(Server first, long sinceNanos, Server other, long nowNanos) {
+    return isKeyed()
+        && nowNanos - sinceNanos < requestClass.dedupWindowNanos()
+        && inDedupGroup(first, other);
   }
 
   private boolean inDedupGroup(Server first, Server other) {
@@ -138,9 +186,8 @@
 
   /** Whether the client may be told that a retry is harmless. */
   boolean mayAdviseRetry() {
-    return requestClass.effect() == RequestClass.Effect.SAFE
-        || (requestClass.effect() == RequestClass.Effect.KEYED
-            && requestClass.group() == RequestClass.Group.ALL)
+    return isSafe()
+        || (isKeyed() && requestClass.group() == RequestClass.Group.ALL)
         || bindingAttempt() == null;
   }
 }
--- a/src/main/java/heathswitch/proxy/dispatch/Dispatcher.java
+++ b/src/main/java/heathswitch/proxy/dispatch/Dispatcher.java
@@ -332,7 +332,20 @@
 
   @Override
   public boolean mayWrite(LiveRequest.DispatchedAttempt attempt) {
-    return maySend(attempt) && claimId(attempt.request);
+    if (!maySend(attempt) || !claimId(attempt.request)) {
+      return false;
+    }
+    if (!attempt.overflow) {
+      balancer.onBegun(clock.nowNanos(), attempt.request.id, attempt.number);
+    }
+    return true;
+  }
+
+  @Override
+  public void requestWritten(LiveRequest.DispatchedAttempt attempt) {
+    if (!attempt.overflow) {
+      balancer.onWritten(clock.nowNanos(), attempt.request.id, attempt.number);
+    }
   }
 
   /** Claims the id of a request that may take effect, before the first byte of its attempts. */
--- a/src/main/java/heathswitch/proxy/dispatch/LiveRequest.java
+++ b/src/main/java/heathswitch/proxy/dispatch/LiveRequest.java
@@ -22,6 +22,8 @@
 
     boolean mayWrite(DispatchedAttempt attempt);
 
+    void requestWritten(DispatchedAttempt attempt);
+
     void answerStalled(DispatchedAttempt attempt, boolean mayBeLong);
 
     void callerGone(LiveRequest request);
@@ -76,6 +78,11 @@
       return listener.mayWrite(this);
     }
 
+    @Override
+    public void requestWritten() {
+      listener.requestWritten(this);
+    }
+
     @Override
     public String requestId() {
       return request.name;
--- a/src/main/java/heathswitch/proxy/grpc/AttemptStream.java
+++ b/src/main/java/heathswitch/proxy/grpc/AttemptStream.java
@@ -86,6 +86,9 @@
     }
     // The server may start to run a call with an incomplete request once it has the headers.
     mayHaveRun = empty || !complete;
+    if (mayHaveRun) {
+      attempt.requestWritten();
+    }
     if (!empty) {
       call.replayTo(this);
     }
@@ -120,6 +123,9 @@
   @Override
   public void operationComplete(ChannelFuture writing) {
     mayHaveRun |= writing.isSuccess();
+    if (writing.isSuccess() && attempt != null) {
+      attempt.requestWritten();
+    }
   }
 
   // ---- the answer ----
--- a/src/main/java/heathswitch/proxy/http1/UpstreamConnection.java
+++ b/src/main/java/heathswitch/proxy/http1/UpstreamConnection.java
@@ -254,6 +254,7 @@
           }
           if (done.isSuccess()) {
             requestWritten = true;
+            current.requestWritten();
           } else {
             onConnectionLost();
           }
--- a/src/main/java/heathswitch/proxy/spi/Attempt.java
+++ b/src/main/java/heathswitch/proxy/spi/Attempt.java
@@ -38,6 +38,9 @@
    */
   public abstract boolean maySend();
 
+  /** Reports that the last byte of the request has been written, so that it may run. */
+  public abstract void requestWritten();
+
   /** The client's id of the request, for the log. */
   public abstract String requestId();
 
--- a/src/test/java/heathswitch/proxy/platform/BalancerFixture.java
+++ b/src/test/java/heathswitch/proxy/platform/BalancerFixture.java
@@ -26,6 +26,7 @@
   private int tier;
   private long maxSockets = 1024;
   private long deadlineNanos = 20_000 * MS;
+  private long dedupWindowNanos = 5_000 * MS;
   private long mustAskNanos = 1_000_000_000L;
 
   /**
@@ -111,6 +112,12 @@
     return this;
   }
 
+  /** Sets how long servers drop repeats of a keyed request. */
+  BalancerFixture dedupWindow(long millis) {
+    dedupWindowNanos = millis * MS;
+    return this;
+  }
+
   /**
    * Sets the tier of the balancer. Above 0 it is behind another tier, and queues requests for a
    * while if its upstreams have no room.
@@ -177,7 +184,7 @@
         "hard_limit_ns",
         deadlineNanos,
         "window_ns",
-        5_000 * MS,
+        dedupWindowNanos,
         "importance",
         1.0);
   }
