Reset an answer in a test only after its client has got the beginning

Cause: the test's server resets right behind 200,000 bytes. A reset discards what its sender still holds: of a plain socket 128,000 bytes arrive here, 5 of 5 times, and fewer where the window is smaller. If the balancer has read less than 64 KiB by then, nothing has gone to the client, and a safe request is rightly tried again.

Change: the server waits until the client has read the head, so that the answer has started in every run; the checks are the same. A second test holds the other order: an answer that is lost before it is forwarded is retried.

--- a/src/test/java/heathswitch/proxy/platform/LargeMessageTest.java
+++ b/src/test/java/heathswitch/proxy/platform/LargeMessageTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -170,21 +171,49 @@
   @EnumSource(Framing.class)
   void truncatedLargeAnswerIsDetectableByClient(Framing framing) throws Exception {
     byte[] body = body(LARGE_BYTES);
+    CountDownLatch answerStarted = new CountDownLatch(1);
     try (StubServer upstream =
             StubServer.replying(
                 (connection, request) -> {
                   connection.send(framing.head(body.length));
                   framing.sendPart(connection, body, 0, 200_000);
+                  answerStarted.await();
                   connection.reset();
                 });
         BalancerFixture fixture = new BalancerFixture().upstream(upstream).start();
         TestClient client = fixture.client()) {
       client.send(TestClient.get("/api/x", ""));
-      assertThrows(IOException.class, () -> RawHttp.body(client.in, RawHttp.readHead(client.in)));
+      RawHttp.Message head = RawHttp.readHead(client.in);
+      answerStarted.countDown();
+      assertThrows(IOException.class, () -> RawHttp.body(client.in, head));
       assertEquals(1, upstream.requests.size(), "no retry once the answer has started");
     }
   }
 
+  /** A reset discards what its sender still holds, so that less than expected may arrive. */
+  @ParameterizedTest
+  @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "LENGTH")
+  void answerThatIsLostBeforeItIsForwardedIsRetried(Framing framing) throws Exception {
+    byte[] body = body(LARGE_BYTES);
+    AtomicInteger answers = new AtomicInteger();
+    try (StubServer upstream =
+            StubServer.replying(
+                (connection, request) -> {
+                  if (answers.incrementAndGet() > 1) {
+                    connection.answer(200, "", "whole");
+                    return;
+                  }
+                  connection.send(framing.head(body.length));
+                  framing.sendPart(connection, body, 0, 30_000);
+                  connection.reset();
+                });
+        BalancerFixture fixture = new BalancerFixture().upstream(upstream).start();
+        TestClient client = fixture.client()) {
+      assertEquals("whole", client.call(TestClient.get("/api/x", "")).text());
+      assertEquals(2, upstream.requests.size());
+    }
+  }
+
   /**
    * HTTP/1.0 has no chunked encoding: the end of the answer is the close of the connection, and a
    * reset if the answer was truncated.
