Keep one extra tick a connection; tell the upstream when its stream is cut off

Cause: near the end of a client's time each regular tick began another series of extra ticks, which lasted as long as the upload; and a streamed answer that is cut off because more has arrived than declared did not tell its upstream connection, which went on reading.

Change: one extra tick at a time; the reset lets the end of the connection report the client as gone.

Evidence: RequestLengthTest, SlowMessagesTest and BordersTest green.

--- a/src/main/java/heathswitch/proxy/http1/ClientConnection.java
+++ b/src/main/java/heathswitch/proxy/http1/ClientConnection.java
@@ -173,6 +173,9 @@
   /** When so much of a body had been read that the client may have sent all of it. */
   private long maybeSentNanos;
 
+  /** Whether a tick beside the regular ones is due. */
+  private boolean tickScheduled;
+
   /** When the client may have sent the last byte of the request, once it is complete. */
   private long sentNanos;
 
@@ -336,7 +339,7 @@
   /** Answers an invalid request that may have been dispatched, and cancels its attempts. */
   private void rejectOpenRequest(HttpResponseStatus status, String reason) {
     if (answerSource != null) {
-      answerAborted(); // A part of the answer has been written; no error can follow it.
+      resetConnection(); // A part of the answer has been written; no error can follow it.
       return;
     }
     RequestHandle openTicket = ticket;
@@ -764,6 +767,11 @@
   @Override
   public void answerAborted() {
     endStream();
+    resetConnection();
+  }
+
+  /** Shows a client that its answer is not whole, also where its end is the close. */
+  private void resetConnection() {
     channel.config().setOption(ChannelOption.SO_LINGER, 0);
     channel.close();
   }
@@ -1088,7 +1096,15 @@
   }
 
   private void tickAgainAfter(long nanos) {
-    channel.eventLoop().schedule(() -> tick(clock.nowNanos()), nanos, NANOSECONDS);
+    if (!tickScheduled) {
+      tickScheduled = true;
+      channel.eventLoop().schedule(this::tickOnce, nanos, NANOSECONDS);
+    }
+  }
+
+  private void tickOnce() {
+    tickScheduled = false;
+    tick(clock.nowNanos());
   }
 
   /**
