--- a/src/test/java/heathswitch/proxy/runtime/GracefulServerSocketChannelTest.java
+++ b/src/test/java/heathswitch/proxy/runtime/GracefulServerSocketChannelTest.java
@@ -10,9 +10,13 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -32,7 +36,21 @@
   }
 
   private Channel listen() throws InterruptedException {
-    return Listeners.bootstrap(loop, channel -> accepted.incrementAndGet())
+    return listen(channel -> {});
+  }
+
+  /**
+   * Starts a listener.
+   *
+   * @param onAccept called with each accepted connection, after it was counted
+   */
+  private Channel listen(Consumer<Channel> onAccept) throws InterruptedException {
+    return Listeners.bootstrap(
+            loop,
+            channel -> {
+              accepted.incrementAndGet();
+              onAccept.accept(channel);
+            })
         .bind(new InetSocketAddress("127.0.0.1", 0))
         .sync()
         .channel();
@@ -94,6 +112,48 @@
     }
   }
 
+  /**
+   * Guards against resets of clients that connect while the last pending connection is being set
+   * up: nothing may happen between the accept that finds no connection and the close.
+   */
+  @Test
+  void acceptsClientsThatConnectDuringSetUpOfPendingOnes() throws Exception {
+    Queue<Socket> clients = new ConcurrentLinkedQueue<>();
+    CompletableFuture<InetSocketAddress> address = new CompletableFuture<>();
+    Channel listener =
+        listen(
+            channel -> {
+              if (accepted.get() < CLIENTS) {
+                connect(address.join(), clients);
+              }
+            });
+    InetSocketAddress bound = (InetSocketAddress) listener.localAddress();
+    loop.submit(
+            () -> {
+              Listeners.closeGracefully(listener, () -> true);
+              connect(bound, clients);
+              address.complete(bound);
+            })
+        .sync();
+    assertTrue(listener.closeFuture().await(10, TimeUnit.SECONDS), "closed");
+    loop.submit(() -> {}).sync();
+    assertEquals(clients.size(), accepted.get());
+    for (Socket client : clients) {
+      client.close();
+    }
+  }
+
+  /** Connects a client if the listener still takes one. */
+  private static void connect(InetSocketAddress address, Queue<Socket> clients) {
+    try {
+      Socket client = new Socket();
+      client.connect(address, 5000);
+      clients.add(client);
+    } catch (IOException e) {
+      // Refused: the client knows that it has to go elsewhere.
+    }
+  }
+
   /** Without descriptors not all clients are accepted, but the listener must still be closed. */
   @Test
   void closesWhenThereIsNoRoomForPendingClients() throws Exception {
