--- a/src/main/java/heathswitch/testbed/Main.java
+++ b/src/main/java/heathswitch/testbed/Main.java
@@ -7,6 +7,7 @@
 import heathswitch.testbed.measure.GrpcMeasurement;
 import heathswitch.testbed.measure.Measurement;
 import heathswitch.testbed.measure.MembersMeasurement;
+import heathswitch.testbed.platform.FailingUpstreamsMeasurement;
 import heathswitch.testbed.platform.SoakMeasurement;
 import heathswitch.testbed.subsetting.SubsetsMeasurement;
 import java.util.List;
@@ -29,7 +30,9 @@
           "subsets",
           new SubsetsMeasurement(),
           "soak",
-          new SoakMeasurement());
+          new SoakMeasurement(),
+          "failures",
+          new FailingUpstreamsMeasurement());
 
   private Main() {}
 
--- a/src/main/java/heathswitch/testbed/platform/PlatformBalancer.java
+++ b/src/main/java/heathswitch/testbed/platform/PlatformBalancer.java
@@ -10,11 +10,13 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /**
  * A balancer process as the platform starts it: the command {@code serve}, with the path of its
@@ -99,6 +101,18 @@
     throw new IOException("no VmHWM for process " + process.pid());
   }
 
+  /** The CPU time that the running process has used so far, in microseconds. */
+  public long cpuMicros() {
+    return process.info().totalCpuDuration().orElse(Duration.ZERO).toNanos() / 1000;
+  }
+
+  /** The number of descriptors that the running process has open. */
+  public int openDescriptors() throws IOException {
+    try (Stream<Path> descriptors = Files.list(Path.of("/proc/" + process.pid() + "/fd"))) {
+      return (int) descriptors.count();
+    }
+  }
+
   /** Writes the configuration that the next start or SIGHUP reads. */
   void configure(Map<String, Object> next) throws IOException {
     config = next;
